Serve the thin whole path across several nodes

Cause: there was no product. Built: the configuration log, gossip, credits, sessions, bills, claims, both listeners, the command line, and stand-ins of store, engines, services, VM list and rater, each router node a process.

Ruled out for the log: one document under compare-and-swap (1 MB bound, every change ships all) and a key per resource (no atomic apply, no total order). Heartbeats are pulled, not pushed: an age counted from the ask can only be overstated, so relayed confirmations cannot inflate as they go round.

--- /dev/null
+++ b/apps/router/src/claims.ts
@@ -0,0 +1,109 @@
+/** Claims in the store for calls that may run at most once. */
+import {failure, type Failure} from '@parsleyarch/errors/failure';
+import {
+  afterClaim,
+  afterClaimRead,
+  ClaimStep,
+  type Claim,
+  type Outcome,
+} from '@parsleyarch/protocol/claim';
+import {
+  createKey,
+  readKey,
+  swapKey,
+  WriteOutcome,
+  type WriteResult,
+} from '@parsleyarch/store/client';
+import {randomUUID} from 'node:crypto';
+import {err, ok, type Result} from 'neverthrow';
+import type {RouterNode} from './node.js';
+
+/** How long a node tries to claim through lost answers. */
+const CLAIM_BOUND_MS = 3_000;
+const CLAIM_PAUSE_MS = 50;
+
+/** A claim that this node holds. */
+export interface HeldClaim {
+  readonly key: string;
+  readonly claim: Claim;
+  readonly version: number;
+}
+
+/** A claim of ours, or the outcome of an earlier run. */
+export type ClaimResult =
+  {readonly held: HeldClaim} | {readonly replay: Outcome};
+
+function claimKey(customer: string, key: string): string {
+  return `once/${customer}/${key}`;
+}
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+const REFUSALS: Readonly<Partial<Record<ClaimStep, Failure>>> = {
+  unknown: failure(
+    'outcome-unknown',
+    'this key was claimed before; whether the call ran is not known',
+  ),
+  reused: failure('key-reused', 'this key belongs to another request'),
+};
+
+/** Claims a key, reading back whenever an answer is lost. */
+export async function claimOnce(
+  node: RouterNode,
+  customer: string,
+  idempotencyKey: string,
+  fingerprint: string,
+): Promise<Result<ClaimResult, Failure>> {
+  const key = claimKey(customer, idempotencyKey);
+  const claim: Claim = {claimId: randomUUID(), node: node.name, fingerprint};
+  const giveUpAt = node.clock() + CLAIM_BOUND_MS;
+  let write: () => Promise<WriteResult> = () =>
+    createKey(node.store, key, claim);
+  while (node.clock() < giveUpAt) {
+    const {outcome, version} = await write();
+    if (afterClaim(outcome) === ClaimStep.run && version !== undefined)
+      return ok({held: {key, claim, version}});
+    const stored = await readKey(node.store, key);
+    if (stored.isErr()) {
+      await wait(CLAIM_PAUSE_MS);
+      continue;
+    }
+    const found = stored.value?.value as Claim | undefined;
+    const step = afterClaimRead(found, claim);
+    const refusal = REFUSALS[step];
+    if (refusal) return err(refusal);
+    if (step === ClaimStep.replay && found?.outcome)
+      return ok({replay: found.outcome});
+    const at = stored.value?.version ?? 0;
+    if (step === ClaimStep.run) return ok({held: {key, claim, version: at}});
+    if (step === ClaimStep.reclaim)
+      write = () => swapKey(node.store, key, claim, at);
+    await wait(CLAIM_PAUSE_MS);
+  }
+  return err(
+    failure('store-unavailable', 'the claim cannot be made now', {
+      retryAfterMs: 1_000,
+    }),
+  );
+}
+
+/** Stores the outcome of a call; failing that, a repeat is told `unknown`. */
+export async function storeOutcome(
+  node: RouterNode,
+  held: HeldClaim,
+  outcome: Outcome,
+): Promise<void> {
+  const done = {...held.claim, outcome};
+  const written = await swapKey(node.store, held.key, done, held.version);
+  if (written.outcome === WriteOutcome.created) return;
+  node.log.warn({key: held.key}, 'outcome of a call was not stored');
+}
+
+/** Gives up a claim under which no byte was sent. */
+export async function releaseClaim(
+  node: RouterNode,
+  held: HeldClaim,
+): Promise<void> {
+  const released = {...held.claim, released: true};
+  await swapKey(node.store, held.key, released, held.version);
+}
--- /dev/null
+++ b/apps/router/src/cli/remote.ts
@@ -0,0 +1,92 @@
+/** Calls to the operators' listener of a node. */
+import {
+  ANSWERS,
+  failure,
+  messageOf,
+  type Failure,
+  type FailureKind,
+} from '@parsleyarch/errors/failure';
+import * as http from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Where the operators' listener is, and the key to use there. */
+export interface Remote {
+  readonly server: string;
+  readonly key: string;
+}
+
+const TIMEOUT_MS = 10_000;
+
+function open(
+  remote: Remote,
+  method: string,
+  path: string,
+  body: unknown,
+): Promise<Result<http.IncomingMessage, Failure>> {
+  return new Promise(resolve => {
+    const payload = body === undefined ? undefined : JSON.stringify(body);
+    const request = http.request(new URL(path, remote.server), {
+      method,
+      headers: {
+        authorization: `Bearer ${remote.key}`,
+        ...(payload && {'content-type': 'application/json'}),
+      },
+    });
+    request.on('response', response => resolve(ok(response)));
+    request.on('error', thrown => {
+      const text = `${remote.server}: ${messageOf(thrown)}`;
+      resolve(err(failure('not-ready', text)));
+    });
+    request.setTimeout(TIMEOUT_MS, () =>
+      request.destroy(new Error('no answer')),
+    );
+    request.end(payload);
+  });
+}
+
+function failureOf(status: number, body: unknown): Failure {
+  const {error} = (body ?? {}) as {error?: Failure};
+  if (error && error.kind in ANSWERS)
+    return failure(error.kind as FailureKind, error.message, error);
+  return failure('internal', `the node answered ${status}`);
+}
+
+/** Makes one call and reads its JSON answer. */
+export async function call(
+  remote: Remote,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<Result<unknown, Failure>> {
+  const response = await open(remote, method, path, body);
+  if (response.isErr()) return err(response.error);
+  const chunks: Buffer[] = [];
+  for await (const chunk of response.value) chunks.push(chunk);
+  const text = Buffer.concat(chunks).toString('utf8');
+  const status = response.value.statusCode ?? 0;
+  try {
+    const parsed: unknown = text === '' ? undefined : JSON.parse(text);
+    if (status >= 200 && status < 300) return ok(parsed);
+    return err(failureOf(status, parsed));
+  } catch {
+    return err(failure('internal', `the node answered ${status}: ${text}`));
+  }
+}
+
+/** Passes on each line of a streamed answer until it ends. */
+export async function follow(
+  remote: Remote,
+  path: string,
+  onLine: (line: string) => void,
+): Promise<Result<void, Failure>> {
+  const response = await open(remote, 'GET', path, undefined);
+  if (response.isErr()) return err(response.error);
+  response.value.setTimeout(0);
+  let rest = '';
+  for await (const chunk of response.value.setEncoding('utf8')) {
+    const lines = (rest + chunk).split('\n');
+    rest = lines.pop() ?? '';
+    for (const line of lines) onLine(line);
+  }
+  return ok(undefined);
+}
--- /dev/null
+++ b/apps/router/src/context.ts
@@ -0,0 +1,153 @@
+/** What a caller's request brings along: customer, session, deadline, key. */
+import {failure, raise, type Failure} from '@parsleyarch/errors/failure';
+import {Freshness} from '@parsleyarch/protocol/freshness';
+import {takeRate} from '@parsleyarch/policy/admission';
+import {find, list} from '@parsleyarch/resource/configuration';
+import type {CustomerSpec, Resource} from '@parsleyarch/resource/schema';
+import type {IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {freshness, liveNames, mintRequestId, type RouterNode} from './node.js';
+import {bearerHash, sameHash} from './replies.js';
+import {newSession, ownSession, readToken, type Session} from './sessions.js';
+
+const DEFAULT_DEADLINE_MS = 30_000;
+const MAX_DEADLINE_MS = 120_000;
+const DEFAULT_TASK_CLASS = 'general';
+const STALE_RETRY_MS = 2_000;
+
+const Headers = z.object({
+  'x-deadline-ms': z.coerce
+    .number()
+    .int()
+    .positive()
+    .max(MAX_DEADLINE_MS)
+    .default(DEFAULT_DEADLINE_MS),
+  'x-quality-target': z.coerce.number().min(0).max(1).optional(),
+  'x-task-class': z
+    .string()
+    .regex(/^[a-z0-9-]{1,40}$/)
+    .default(DEFAULT_TASK_CLASS),
+  'x-session': z.string().max(4_096).optional(),
+  'x-session-id': z.string().min(1).max(200).optional(),
+  'idempotency-key': z
+    .string()
+    .regex(/^[\x21-\x7e]{1,128}$/)
+    .optional(),
+});
+
+/** One request of a caller. */
+export interface Context {
+  readonly requestId: string;
+  readonly customer: string;
+  readonly taskClass: string;
+  /** Mean quality asked for, in [0, 1]. */
+  readonly qualityTarget?: number;
+  /** Local monotonic milliseconds. */
+  readonly deadlineAt: number;
+  readonly session: Session;
+  readonly idempotencyKey?: string;
+  /** Aborted when the caller goes away or the deadline passes. */
+  readonly abort: AbortController;
+}
+
+/** Whose key this is. */
+export function authenticate(
+  node: RouterNode,
+  request: IncomingMessage,
+): Result<Resource<'Customer'>, Failure> {
+  const hash = bearerHash(request);
+  if (hash.isErr()) return err(hash.error);
+  let found: Resource<'Customer'> | undefined;
+  for (const customer of list(node.configuration, 'Customer')) {
+    for (const keyHash of customer.spec.keyHashes)
+      if (sameHash(keyHash, hash.value)) found = customer;
+  }
+  return found ? ok(found) : raise('unauthenticated', 'unknown key');
+}
+
+/**
+ * Why this node takes no new work now, if so. A stopping node still serves what
+ * reaches it until the balancer has turned away.
+ */
+export function readiness(node: RouterNode): Failure | undefined {
+  if (freshness(node) !== Freshness.stale) return undefined;
+  return failure(
+    'stale-configuration',
+    'this node cannot confirm its configuration',
+    {retryAfterMs: STALE_RETRY_MS},
+  );
+}
+
+function admit(
+  node: RouterNode,
+  customer: Resource<'Customer'>,
+): Failure | undefined {
+  const {bucket, admitted, retryAfterMs} = takeRate(
+    node.rates.get(customer.name),
+    customer.spec.requestsPerSecond,
+    liveNames(node).length,
+    node.clock(),
+  );
+  node.rates.set(customer.name, bucket);
+  if (admitted) return undefined;
+  return failure('rate-limited', 'the customer sends too many requests', {
+    retryAfterMs,
+  });
+}
+
+function sessionOf(
+  node: RouterNode,
+  customer: string,
+  headers: z.infer<typeof Headers>,
+): Session {
+  const token = headers['x-session'];
+  const known = token && readToken(node, token, customer);
+  if (known) return known;
+  const own = headers['x-session-id'];
+  return own
+    ? ownSession(customer, `${customer}/${own}`)
+    : newSession(customer);
+}
+
+/** Checks a request's headers, key and rate, and whether the node is ready. */
+export function openContext(
+  node: RouterNode,
+  request: IncomingMessage,
+): Result<Context, Failure> {
+  const unready = readiness(node);
+  if (unready) return err(unready);
+  const customer = authenticate(node, request);
+  if (customer.isErr()) return err(customer.error);
+  const headers = Headers.safeParse(request.headers);
+  if (!headers.success) {
+    const [{path, message}] = headers.error.issues;
+    return raise('invalid-header', `${path.join('.')}: ${message}`);
+  }
+  const refusal = admit(node, customer.value);
+  if (refusal) return err(refusal);
+  const {name} = customer.value;
+  return ok({
+    requestId: mintRequestId(node),
+    customer: name,
+    taskClass: headers.data['x-task-class'],
+    qualityTarget: headers.data['x-quality-target'],
+    deadlineAt: node.clock() + headers.data['x-deadline-ms'],
+    session: sessionOf(node, name, headers.data),
+    idempotencyKey: headers.data['idempotency-key'],
+    abort: new AbortController(),
+  });
+}
+
+/** The customer's declaration as it is now; gone when it was deleted. */
+export function customerNow(
+  node: RouterNode,
+  context: Context,
+): CustomerSpec | undefined {
+  return find(node.configuration, 'Customer', context.customer)?.spec;
+}
+
+/** Milliseconds left for a request. */
+export function timeLeft(node: RouterNode, context: Context): number {
+  return context.deadlineAt - node.clock();
+}
--- /dev/null
+++ b/apps/router/src/learning.ts
@@ -0,0 +1,189 @@
+/** What nodes learn from outcomes and ratings, shared by counters. */
+import {messageOf} from '@parsleyarch/errors/failure';
+import {
+  NO_RATINGS,
+  RATING_BINS,
+  ratingBin,
+  type RatingCounts,
+} from '@parsleyarch/policy/cascade';
+import {
+  findHarm,
+  SIGNALS,
+  type Signal,
+  type VersionTally,
+} from '@parsleyarch/policy/rollout';
+import {
+  addCount,
+  dropOldWindows,
+  totalOf,
+  WINDOW_MS,
+} from '@parsleyarch/protocol/evidence';
+import {find, list} from '@parsleyarch/resource/configuration';
+import {exchange, readBody} from '@parsleyarch/upstream/exchange';
+import * as http from 'node:http';
+import {z} from 'zod';
+import {shareNews} from './crashes.js';
+import {decide} from './decisions.js';
+import type {RouterNode} from './node.js';
+
+/** Share of answers that are sent to the rating service. */
+const RATED_SHARE = 0.3;
+/** Rating below which an answer counts as bad for a roll-out. */
+const BAD_RATING = 0.5;
+/** Factor over the declared first-token time that counts as bad. */
+const LATE_FACTOR = 4;
+const RATER_IDLE_MS = 5_000;
+const MAX_RATING_BYTES = 4_096;
+
+const Rating = z.object({rating: z.number().min(0).max(1)});
+
+/** How a generation on a version went. */
+export interface VersionOutcome {
+  readonly failed: boolean;
+  readonly firstTokenMs: number;
+}
+
+function count(node: RouterNode, name: string): void {
+  const owner = {
+    node: node.name,
+    incarnation: node.incarnation,
+    window: Math.floor(Date.now() / WINDOW_MS),
+  };
+  node.evidence = addCount(node.evidence, owner, name);
+}
+
+function countSignal(
+  node: RouterNode,
+  version: string,
+  signal: Signal,
+  bad: boolean,
+): void {
+  count(node, `${version}/${signal}/seen`);
+  if (bad) count(node, `${version}/${signal}/bad`);
+}
+
+/** Counts how a generation went, and brakes a new version that does harm. */
+export function countOutcome(
+  node: RouterNode,
+  version: string,
+  outcome: VersionOutcome,
+): void {
+  const declared = find(node.configuration, 'Version', version)?.spec;
+  countSignal(node, version, 'error', outcome.failed);
+  const late = (declared?.firstTokenMs ?? Infinity) * LATE_FACTOR;
+  if (!outcome.failed)
+    countSignal(node, version, 'latency', outcome.firstTokenMs > late);
+  brakeHarmful(node);
+}
+
+/** All nodes' counts of a version. */
+export function tallyOf(node: RouterNode, version: string): VersionTally {
+  const tally = (signal: Signal) => ({
+    seen: totalOf(node.evidence, `${version}/${signal}/seen`),
+    bad: totalOf(node.evidence, `${version}/${signal}/bad`),
+  });
+  const [error, latency, rating] = SIGNALS.map(tally);
+  return {error, latency, rating};
+}
+
+/** Stops giving new sessions to versions that do harm, before any agreement. */
+export function brakeHarmful(node: RouterNode): void {
+  for (const {name, spec} of list(node.configuration, 'Rollout')) {
+    if (spec.state !== 'running' || node.braked.has(spec.to)) continue;
+    const signal = findHarm(tallyOf(node, spec.to), tallyOf(node, spec.from));
+    if (!signal) continue;
+    node.braked.add(spec.to);
+    decide(node, {
+      decision: 'brake',
+      candidates: [spec.from, spec.to],
+      choice: spec.from,
+      reason: `${signal} is worse on ${spec.to}`,
+      rollout: name,
+    });
+    void shareCounters(node);
+  }
+}
+
+/** Tells all peers this node's counters. */
+export async function shareCounters(node: RouterNode): Promise<void> {
+  const window = Math.floor(Date.now() / WINDOW_MS);
+  node.evidence = dropOldWindows(node.evidence, window);
+  for (const share of node.evidence.values()) {
+    if (share.node !== node.name) continue;
+    if (share.incarnation !== node.incarnation) continue;
+    await shareNews(node, {type: 'counters', share});
+  }
+}
+
+/** Ratings of a version in a task class, over all nodes. */
+export function ratingsOf(
+  node: RouterNode,
+  taskClass: string,
+  version: string,
+): RatingCounts {
+  if (node.evidence.size === 0) return NO_RATINGS;
+  return Array.from({length: RATING_BINS}, (_, bin) =>
+    totalOf(node.evidence, `${version}/${taskClass}/rating-${bin}`),
+  );
+}
+
+/** An answer to be rated. */
+export interface RatedAnswer {
+  readonly taskClass: string;
+  readonly version: string;
+  readonly prompt: string;
+  readonly answer: string;
+}
+
+/** Asks the rating service for one rating; undefined when it gives none. */
+export async function askRating(
+  node: RouterNode,
+  rated: RatedAnswer,
+  signal?: AbortSignal,
+): Promise<number | undefined> {
+  const {rater} = node.settings;
+  if (!rater) return undefined;
+  const answer = await exchange({
+    url: new URL('/rate', rater.address),
+    method: 'POST',
+    body: Buffer.from(JSON.stringify(rated)),
+    headers: {'content-type': 'application/json'},
+    agent: http.globalAgent,
+    idleMs: RATER_IDLE_MS,
+    signal,
+  });
+  if (answer.isErr()) return undefined;
+  const body = await readBody(answer.value, MAX_RATING_BYTES);
+  if (body.isErr() || answer.value.statusCode !== 200) return undefined;
+  try {
+    const {rating} = Rating.parse(JSON.parse(body.value.toString('utf8')));
+    return rating;
+  } catch (thrown) {
+    node.log.warn({error: messageOf(thrown)}, 'rating cannot be read');
+    return undefined;
+  }
+}
+
+/** Enters a rating into the counters. */
+export function countRating(
+  node: RouterNode,
+  {taskClass, version}: RatedAnswer,
+  rating: number,
+): void {
+  count(node, `${version}/${taskClass}/rating-${ratingBin(rating)}`);
+  countSignal(node, version, 'rating', rating < BAD_RATING);
+  brakeHarmful(node);
+}
+
+/** Has a share of the answers rated, after they were given. */
+export async function sampleRating(
+  node: RouterNode,
+  rated: RatedAnswer,
+): Promise<void> {
+  const onTrial = list(node.configuration, 'Rollout').some(
+    ({spec}) => spec.state === 'running' && spec.to === rated.version,
+  );
+  if (!onTrial && node.random() >= RATED_SHARE) return;
+  const rating = await askRating(node, rated);
+  if (rating !== undefined) countRating(node, rated, rating);
+}
--- /dev/null
+++ b/apps/router/src/serve.ts
@@ -0,0 +1,171 @@
+/** Starts a node, and stops it without cutting a request. */
+import {repeat} from '@parsleyarch/lifecycle/process';
+import {own, stop} from '@parsleyarch/lifecycle/manager';
+import {closePeerClient} from '@parsleyarch/peer/client';
+import {closePeerServer, listenForPeers} from '@parsleyarch/peer/server';
+import {closeStore} from '@parsleyarch/store/client';
+import type {Server} from 'node:http';
+import {serveWaiting} from './acquire.js';
+import {writeBills, writeCopies} from './bills.js';
+import {listenForCallers} from './callers.js';
+import {loadConfiguration, tailStep} from './config.js';
+import {controlStep, type StepStarts} from './control.js';
+import {
+  creditStep,
+  releaseGroups,
+  stewardStep,
+  syncStewardships,
+} from './credits.js';
+import {beatStep, vmListStep} from './gossip.js';
+import {brakeHarmful, shareCounters} from './learning.js';
+import {createNode, type RouterNode} from './node.js';
+import {listenForOperators} from './operators.js';
+import {peerHandlers} from './peering.js';
+import {spreadPins} from './sessions.js';
+import type {Settings} from './settings.js';
+import {closeUpstreams, syncUpstreams} from './upstreams.js';
+
+/** Pauses between the rounds of each process, milliseconds. */
+const PAUSE_MS = {
+  tail: 100,
+  beat: 400,
+  vmList: 1_000,
+  steward: 500,
+  credit: 300,
+  bills: 1_000,
+  copies: 1_000,
+  control: 1_000,
+  counters: 1_000,
+  pins: 1_000,
+} as const;
+/** Shortest pause between two rounds of asking for credits. */
+const MIN_CREDIT_PAUSE_MS = 5;
+const DRAIN_POLL_MS = 50;
+
+function followConfiguration(node: RouterNode): void {
+  let stewards = node.configuration.tables.Steward;
+  const sync = () => {
+    syncUpstreams(node);
+    syncStewardships(node, stewards);
+    stewards = node.configuration.tables.Steward;
+    brakeHarmful(node);
+    node.wakeCredits();
+  };
+  node.onConfiguration.push(sync);
+  sync();
+}
+
+function run(
+  node: RouterNode,
+  name: string,
+  pauseMs: number,
+  step: () => Promise<void>,
+): void {
+  const onError = (error: unknown) =>
+    node.log.error(
+      {process: name, error: String(error)},
+      'process step failed',
+    );
+  const running = repeat(pauseMs, step, onError);
+  own(node.manager, name, () => running.end());
+}
+
+/** Runs the credit rounds: on a period, and soon after each wake. */
+function runCredits(node: RouterNode): void {
+  let asking = false;
+  let again = false;
+  const ask = async () => {
+    if (asking) {
+      again = true;
+      return;
+    }
+    asking = true;
+    again = false;
+    try {
+      await creditStep(node);
+    } finally {
+      asking = false;
+    }
+    if (again) setTimeout(() => void ask(), MIN_CREDIT_PAUSE_MS);
+  };
+  node.wakeCredits = () => void ask();
+  run(node, 'credits', PAUSE_MS.credit, ask);
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Leaves in order: unready, balancer's lag, no new connections, last answer. */
+async function drain(node: RouterNode, callers: Server): Promise<void> {
+  const {balancerLagMs, graceMs} = node.settings.stop;
+  node.stopping = true;
+  node.log.info({active: node.active}, 'stopping');
+  await Promise.all([
+    releaseGroups(node),
+    spreadPins(node, true),
+    wait(balancerLagMs),
+  ]);
+  const closed = closeServer(callers);
+  const until = node.clock() + graceMs;
+  while (node.active > 0 && node.clock() < until) await wait(DRAIN_POLL_MS);
+  callers.closeAllConnections();
+  await closed;
+  await writeBills(node);
+}
+
+/** A node that runs. */
+export interface Running {
+  readonly node: RouterNode;
+  /** Stops gracefully; resolves when nothing of it is left. */
+  stop(): Promise<void>;
+}
+
+function startProcesses(node: RouterNode): void {
+  const starts: StepStarts = new Map();
+  run(node, 'tail', PAUSE_MS.tail, () => tailStep(node));
+  run(node, 'beat', PAUSE_MS.beat, () => beatStep(node));
+  run(node, 'vm-list', PAUSE_MS.vmList, () => vmListStep(node));
+  run(node, 'steward', PAUSE_MS.steward, () => stewardStep(node));
+  run(node, 'bills', PAUSE_MS.bills, () => writeBills(node));
+  run(node, 'copies', PAUSE_MS.copies, () => writeCopies(node));
+  run(node, 'control', PAUSE_MS.control, () => controlStep(node, starts));
+  run(node, 'counters', PAUSE_MS.counters, () => shareCounters(node));
+  run(node, 'pins', PAUSE_MS.pins, () => spreadPins(node));
+  runCredits(node);
+}
+
+/** Starts a node from its settings. */
+export async function startNode(settings: Settings): Promise<Running> {
+  const node = createNode(settings);
+  const {manager} = node;
+  own(manager, 'store', () => closeStore(node.store));
+  own(manager, 'peer-client', () => closePeerClient(node.peers));
+  own(manager, 'upstreams', () => closeUpstreams(node));
+  node.wakeWaiting = () => serveWaiting(node);
+  await vmListStep(node);
+  await loadConfiguration(node);
+  followConfiguration(node);
+  const {host, port} = settings.peers;
+  const peers = await listenForPeers(
+    `${host}:${port}`,
+    settings.peerKey,
+    peerHandlers(node),
+  );
+  own(manager, 'peer-listener', () => closePeerServer(peers));
+  startProcesses(node);
+  const operators = await listenForOperators(node);
+  own(manager, 'operator-listener', () => {
+    operators.closeAllConnections();
+    return closeServer(operators);
+  });
+  const callers = await listenForCallers(node);
+  own(manager, 'caller-listener', () => drain(node, callers));
+  node.log.info({incarnation: node.incarnation}, 'serving');
+  return {node, stop: () => stop(manager)};
+}
--- /dev/null
+++ b/apps/standins/src/deployment.ts
@@ -0,0 +1,63 @@
+/** Upstream stand-ins with the declarations that make them known. */
+import {startEngine, type EngineOptions, type EngineStandIn} from './engine.js';
+import {startService, type ServiceStandIn} from './service.js';
+
+/** One resource to declare. */
+export interface Declared {
+  readonly kind: string;
+  readonly name: string;
+  readonly spec: Readonly<Record<string, unknown>>;
+}
+
+/** A running pool of engines or service instances. */
+export interface Pool<T> {
+  readonly instances: Map<string, T>;
+  readonly declarations: Declared[];
+}
+
+/** Starts one engine for each failure domain in the list. */
+export async function startEngines(
+  prefix: string,
+  domains: readonly string[],
+  options: Partial<EngineOptions> & {versions: readonly string[]},
+  addressOf: (engine: EngineStandIn) => string | Promise<string> = engine =>
+    engine.server.address,
+): Promise<Pool<EngineStandIn>> {
+  const instances = new Map<string, EngineStandIn>();
+  const declarations: Declared[] = [];
+  for (const [index, failureDomain] of domains.entries()) {
+    const engine = await startEngine(options);
+    const name = `${prefix}-${index + 1}`;
+    instances.set(name, engine);
+    const {coldLimit, warmLimit, versions} = engine.options;
+    const address = await addressOf(engine);
+    const spec = {failureDomain, address, versions, coldLimit, warmLimit};
+    declarations.push({kind: 'Upstream', name, spec});
+  }
+  return {instances, declarations};
+}
+
+/** Starts one instance of a service for each failure domain in the list. */
+export async function startServices(
+  service: string,
+  domains: readonly string[],
+): Promise<Pool<ServiceStandIn>> {
+  const instances = new Map<string, ServiceStandIn>();
+  const declarations: Declared[] = [];
+  const runs = new Map<string, number>();
+  for (const [index, failureDomain] of domains.entries()) {
+    const instance = await startService(runs);
+    const name = `${service}-${index + 1}`;
+    instances.set(name, instance);
+    const {address} = instance.server;
+    const spec = {
+      failureDomain,
+      address,
+      service,
+      coldLimit: 4,
+      warmLimit: 16,
+    };
+    declarations.push({kind: 'Upstream', name, spec});
+  }
+  return {instances, declarations};
+}
--- /dev/null
+++ b/apps/standins/src/main.ts
@@ -0,0 +1,44 @@
+/** Stand-ins, demo and measurements: the program that is not shipped. */
+import yargs from 'yargs';
+import {runDemo} from './demo.js';
+import {startEngine} from './engine.js';
+import {startRater, startVmList} from './platform.js';
+import {startService} from './service.js';
+import {startStore} from './store.js';
+
+const port = {type: 'number', default: 0} as const;
+
+function say(server: {address: string}): void {
+  console.log(server.address);
+}
+
+void yargs(process.argv.slice(2))
+  .scriptName('standins')
+  .command('demo', 'run the main job on stand-ins', {}, async () => {
+    const violations = await runDemo();
+    process.exit(violations === 0 ? 0 : 1);
+  })
+  .command('store', 'run a key-value store', {port}, async argv =>
+    say((await startStore(argv.port)).server),
+  )
+  .command('vm-list', 'run a VM list', {port}, async argv =>
+    say((await startVmList(argv.port)).server),
+  )
+  .command('rater', 'run a rating service', {port}, async argv =>
+    say((await startRater(argv.port)).server),
+  )
+  .command('service', 'run a plain service', {port}, async argv =>
+    say((await startService(new Map(), argv.port)).server),
+  )
+  .command(
+    'engine',
+    'run a model engine',
+    {port, versions: {type: 'string', array: true, demandOption: true}},
+    async argv =>
+      say(
+        (await startEngine({port: argv.port, versions: argv.versions})).server,
+      ),
+  )
+  .demandCommand(1)
+  .strict()
+  .parse();
--- /dev/null
+++ b/packages/peer/src/client.ts
@@ -0,0 +1,90 @@
+/** Calls to peers, each with a deadline; a failed call is an ordinary answer. */
+import {
+  credentials,
+  makeGenericClientConstructor,
+  Metadata,
+  type Client,
+  type ServiceError,
+} from '@grpc/grpc-js';
+import {failure, type Failure} from '@parsleyarch/errors/failure';
+import {err, ok, type Result} from 'neverthrow';
+import type {PeerCall, PeerCalls} from './messages.js';
+import {KEY_FIELD} from './server.js';
+import {PEER_SERVICE} from './service.js';
+
+type Method = (
+  request: unknown,
+  metadata: Metadata,
+  options: {deadline: number},
+  done: (error: ServiceError | null, answer: unknown) => void,
+) => void;
+
+/** Open connections to peers, by address. */
+export interface PeerClient {
+  readonly metadata: Metadata;
+  readonly clients: Map<string, Client>;
+}
+
+const PeerConnection = makeGenericClientConstructor(PEER_SERVICE, 'Peer');
+
+/** Longest pause between attempts to connect again, milliseconds. */
+const MAX_RECONNECT_MS = 1_000;
+
+/** Creates a client; connections open with the first call to an address. */
+export function createPeerClient(key: string): PeerClient {
+  const metadata = new Metadata();
+  metadata.set(KEY_FIELD, key);
+  return {metadata, clients: new Map()};
+}
+
+function connection(peers: PeerClient, address: string): Client {
+  const known = peers.clients.get(address);
+  if (known) return known;
+  const opened = new PeerConnection(address, credentials.createInsecure(), {
+    'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
+    'grpc.initial_reconnect_backoff_ms': 100,
+  });
+  peers.clients.set(address, opened);
+  return opened;
+}
+
+/** Calls one method of one peer. */
+export function callPeer<C extends PeerCall>(
+  peers: PeerClient,
+  address: string,
+  call: C,
+  request: PeerCalls[C][0],
+  timeoutMs: number,
+): Promise<Result<PeerCalls[C][1], Failure>> {
+  const client = connection(peers, address);
+  const method = (client as unknown as Record<C, Method>)[call];
+  return new Promise(resolve => {
+    method.call(
+      client,
+      request,
+      peers.metadata,
+      {deadline: Date.now() + timeoutMs},
+      (error, answer) => {
+        if (!error) resolve(ok(answer as PeerCalls[C][1]));
+        else resolve(err(failure('internal', `${call}: ${error.details}`)));
+      },
+    );
+  });
+}
+
+/** Closes connections to addresses that are no longer listed. */
+export function keepAddresses(
+  peers: PeerClient,
+  listed: ReadonlySet<string>,
+): void {
+  for (const [address, client] of peers.clients) {
+    if (listed.has(address)) continue;
+    client.close();
+    peers.clients.delete(address);
+  }
+}
+
+/** Closes every connection. */
+export function closePeerClient(peers: PeerClient): void {
+  keepAddresses(peers, new Set());
+}
--- /dev/null
+++ b/packages/policy/src/balance.ts
@@ -0,0 +1,103 @@
+/** Which upstream gets a request, among those with free credits. */
+import type {UpstreamSpec} from '@parsleyarch/resource/schema';
+
+/** What a node knows of one upstream at dispatch. */
+export interface UpstreamView {
+  readonly name: string;
+  readonly spec: UpstreamSpec;
+  /** Whether operators have taken its failure domain out. */
+  readonly domainOut: boolean;
+  /** Credits held and good now. */
+  readonly credits: number;
+  /** Requests of this node running there. */
+  readonly inFlight: number;
+  /** Load by the last report, all nodes together. */
+  readonly reportedRunning: number;
+  /** Limit over all nodes, by the steward. */
+  readonly limit: number;
+  /** Requests suspected of crashing upstreams that run there. */
+  readonly suspects: number;
+}
+
+/** What a request asks of its upstream. */
+export interface Need {
+  /** Version, for engines. */
+  readonly version?: string;
+  /** Plain service, for its instances. */
+  readonly service?: string;
+  readonly failureDomain: string;
+  /** Ranks upstreams for a session so that its prefix cache is found again. */
+  readonly affinity?: (upstream: string) => number;
+  /** Upstreams that failed this request already. */
+  readonly avoid: ReadonlySet<string>;
+  /** Whether the request itself is suspected of crashing upstreams. */
+  readonly suspect: boolean;
+}
+
+/** Whether the upstream could serve the request, credits aside. */
+export function fits(view: UpstreamView, need: Need): boolean {
+  if (view.domainOut || view.spec.state !== 'in') return false;
+  if (need.version !== undefined)
+    return view.spec.versions.includes(need.version);
+  return need.service !== undefined && view.spec.service === need.service;
+}
+
+/** Whether the upstream can take the request now. */
+export function isFree(view: UpstreamView, need: Need): boolean {
+  if (view.inFlight >= view.credits || need.avoid.has(view.name)) return false;
+  return !need.suspect || view.suspects === 0;
+}
+
+/** Utilisation above which a session leaves the upstream with its prefixes. */
+const AFFINITY_BOUND = 0.85;
+
+function utilisation(view: UpstreamView): number {
+  const own = view.inFlight / Math.max(1, view.credits);
+  const all = view.reportedRunning / Math.max(1, view.limit);
+  return Math.max(own, all);
+}
+
+/** A choice and the rule that made it. */
+export interface BalanceChoice {
+  readonly upstream: string;
+  readonly reason: 'affinity' | 'near' | 'spill';
+}
+
+function lighterOfTwo(
+  views: readonly UpstreamView[],
+  random: () => number,
+): UpstreamView {
+  const first = Math.floor(random() * views.length);
+  const step = 1 + Math.floor(random() * (views.length - 1));
+  const second = (first + step) % views.length;
+  const [a, b] = [views[first], views[second]];
+  return utilisation(b) < utilisation(a) ? b : a;
+}
+
+/**
+ * Chooses among the free upstreams: the session's own while it is not busy,
+ * else the lighter of two in the same failure domain, else of two anywhere.
+ */
+export function chooseUpstream(
+  views: readonly UpstreamView[],
+  need: Need,
+  random: () => number,
+): BalanceChoice | undefined {
+  const free = views.filter(view => fits(view, need) && isFree(view, need));
+  if (free.length === 0) return undefined;
+  if (need.affinity) {
+    const {affinity} = need;
+    const fitting = views.filter(view => fits(view, need));
+    const home = fitting.reduce((best, view) =>
+      affinity(view.name) > affinity(best.name) ? view : best,
+    );
+    if (free.includes(home) && utilisation(home) < AFFINITY_BOUND)
+      return {upstream: home.name, reason: 'affinity'};
+  }
+  const near = free.filter(
+    view => view.spec.failureDomain === need.failureDomain,
+  );
+  if (near.length > 0)
+    return {upstream: lighterOfTwo(near, random).name, reason: 'near'};
+  return {upstream: lighterOfTwo(free, random).name, reason: 'spill'};
+}
--- /dev/null
+++ b/packages/protocol/src/credit.ts
@@ -0,0 +1,261 @@
+/**
+ * Concurrency credits. One node, the steward of an upstream, grants credits
+ * with an expiry; other nodes dispatch only on credits that they hold. Pure
+ * functions only.
+ */
+
+/** How long a grant may be used without renewal. */
+export const GRANT_TTL_MS = 2_000;
+
+/** Longest time that a request may run on an upstream. */
+export const MAX_REQUEST_MS = 120_000;
+
+/** Credits that one node holds at one upstream. */
+export interface Grant {
+  readonly incarnation: number;
+  /** Number of the ask that the grant answers. */
+  readonly sequence: number;
+  /** The most that the node may be using. */
+  readonly credits: number;
+  /** Local monotonic milliseconds. */
+  readonly expiresAt: number;
+}
+
+/** The steward's state for one upstream. */
+export interface Stewardship {
+  readonly coldLimit: number;
+  readonly warmLimit: number;
+  /** Concurrency now allowed over all nodes. */
+  readonly limit: number;
+  /** Successes since the limit last changed. */
+  readonly successes: number;
+  /** Start of the upstream that the limit belongs to; grows with each start. */
+  readonly upstreamIncarnation: number;
+  /** No grants before this time: the former steward's must have run out. */
+  readonly notBefore: number;
+  /** Nodes that may still run requests which they have not reported. */
+  readonly awaited: ReadonlySet<string>;
+  readonly grants: ReadonlyMap<string, Grant>;
+}
+
+/** A node's report and wish for one upstream. */
+export interface CreditRequest {
+  readonly node: string;
+  readonly incarnation: number;
+  readonly upstreamIncarnation: number;
+  /** Limit that the node was last told for this start of the upstream. */
+  readonly knownLimit: number;
+  /** Number of the ask; older ones that come late change nothing. */
+  readonly sequence: number;
+  /**
+   * The most requests that the node will run there until it has the answer;
+   * never less than run there now.
+   */
+  readonly holding: number;
+  /** Credits that the node could use now, those held included. */
+  readonly want: number;
+  /** Requests that succeeded since the last report. */
+  readonly succeeded: number;
+  /** Whether the upstream broke or refused work since the last report. */
+  readonly failed: boolean;
+}
+
+/** The steward's answer. */
+export interface CreditGrant {
+  readonly credits: number;
+  readonly ttlMs: number;
+  readonly limit: number;
+  /** Start of the upstream that the grant is good for. */
+  readonly upstreamIncarnation: number;
+}
+
+/**
+ * A stewardship that grants nothing before `notBefore` and, for as long as a
+ * request can last, until each awaited node has reported.
+ */
+export function createStewardship(
+  coldLimit: number,
+  warmLimit: number,
+  notBefore: number,
+  awaited: Iterable<string>,
+): Stewardship {
+  return {
+    coldLimit,
+    warmLimit,
+    limit: coldLimit,
+    successes: 0,
+    upstreamIncarnation: 0,
+    notBefore,
+    awaited: new Set(awaited),
+    grants: new Map(),
+  };
+}
+
+/** Back to the cold limit for a new start of the upstream. */
+function turnCold(
+  state: Stewardship,
+  upstreamIncarnation: number,
+): Stewardship {
+  return {
+    ...state,
+    limit: state.coldLimit,
+    successes: 0,
+    upstreamIncarnation,
+  };
+}
+
+/** Adds one to the limit after as many successes as the limit is wide. */
+function grow(state: Stewardship, succeeded: number): Stewardship {
+  let {limit} = state;
+  let successes = state.successes + succeeded;
+  while (limit < state.warmLimit && successes >= limit) {
+    successes -= limit;
+    limit += 1;
+  }
+  if (limit >= state.warmLimit) successes = 0;
+  return {...state, limit, successes};
+}
+
+/**
+ * Credits that a node may still be using. A grant that ran out keeps counting
+ * for as long as a request started on it can last.
+ */
+function heldBy(grant: Grant, now: number): number {
+  if (now <= grant.expiresAt) return grant.credits;
+  return now <= grant.expiresAt + MAX_REQUEST_MS ? grant.credits : 0;
+}
+
+function heldByOthers(state: Stewardship, node: string, now: number): number {
+  let held = 0;
+  for (const [holder, grant] of state.grants) {
+    if (holder !== node) held += heldBy(grant, now);
+  }
+  return held;
+}
+
+function activeNodes(state: Stewardship, node: string, now: number): number {
+  let active = 1;
+  for (const [holder, grant] of state.grants) {
+    if (holder === node || now > grant.expiresAt) continue;
+    if (grant.credits > 0) active += 1;
+  }
+  return active;
+}
+
+function isWaiting(state: Stewardship, now: number): boolean {
+  if (now < state.notBefore) return true;
+  return state.awaited.size > 0 && now < state.notBefore + MAX_REQUEST_MS;
+}
+
+/** Takes over the limit that an earlier steward had learned. */
+function recallLimit(state: Stewardship, knownLimit: number): Stewardship {
+  const limit = Math.min(Math.max(state.limit, knownLimit), state.warmLimit);
+  return {...state, limit};
+}
+
+function adoptReport(
+  state: Stewardship,
+  request: CreditRequest,
+  now: number,
+): Stewardship {
+  if (request.upstreamIncarnation < state.upstreamIncarnation) return state;
+  const known =
+    request.upstreamIncarnation > state.upstreamIncarnation
+      ? turnCold(state, request.upstreamIncarnation)
+      : state;
+  if (request.failed) return turnCold(known, known.upstreamIncarnation);
+  if (isWaiting(known, now)) return recallLimit(known, request.knownLimit);
+  return grow(known, request.succeeded);
+}
+
+function withoutAwaited(state: Stewardship, node: string): Stewardship {
+  if (!state.awaited.has(node)) return state;
+  const awaited = new Set(state.awaited);
+  awaited.delete(node);
+  return {...state, awaited};
+}
+
+function isOldAsk(state: Stewardship, request: CreditRequest): boolean {
+  const known = state.grants.get(request.node);
+  if (!known) return false;
+  if (known.incarnation !== request.incarnation)
+    return known.incarnation > request.incarnation;
+  return known.sequence >= request.sequence;
+}
+
+function countCredits(
+  state: Stewardship,
+  request: CreditRequest,
+  now: number,
+): number {
+  if (isWaiting(state, now)) return 0;
+  if (request.upstreamIncarnation !== state.upstreamIncarnation) return 0;
+  const free = state.limit - heldByOthers(state, request.node, now);
+  const share = Math.floor(state.limit / activeNodes(state, request.node, now));
+  const crowded = free < request.want;
+  const wish = crowded
+    ? Math.min(request.want, Math.max(share, 1))
+    : request.want;
+  return Math.max(0, Math.min(wish, free));
+}
+
+/**
+ * Decides how many credits a node gets. A grant below what the node holds
+ * counts in full until the node's next ask shows that it has let go.
+ */
+export function grantCredits(
+  state: Stewardship,
+  request: CreditRequest,
+  now: number,
+): {state: Stewardship; grant: CreditGrant} {
+  const {upstreamIncarnation} = request;
+  if (isOldAsk(state, request)) {
+    const none = {credits: 0, ttlMs: 0, limit: state.limit};
+    return {state, grant: {...none, upstreamIncarnation}};
+  }
+  const reported = withoutAwaited(state, request.node);
+  const next = adoptReport(reported, request, now);
+  const credits = countCredits(next, request, now);
+  const grants = new Map(next.grants);
+  grants.set(request.node, {
+    incarnation: request.incarnation,
+    sequence: request.sequence,
+    credits: Math.max(credits, request.holding),
+    expiresAt: now + GRANT_TTL_MS,
+  });
+  return {
+    state: {...next, grants},
+    grant: {
+      credits,
+      ttlMs: GRANT_TTL_MS,
+      limit: next.limit,
+      upstreamIncarnation: next.upstreamIncarnation,
+    },
+  };
+}
+
+/** Frees what nodes held that are gone for certain: their connections ended. */
+export function dropNodes(
+  state: Stewardship,
+  gone: (node: string) => boolean,
+): Stewardship {
+  const grants = new Map(state.grants);
+  const awaited = new Set(state.awaited);
+  for (const node of state.grants.keys()) {
+    if (gone(node)) grants.delete(node);
+  }
+  for (const node of state.awaited) {
+    if (gone(node)) awaited.delete(node);
+  }
+  return {...state, grants, awaited};
+}
+
+/** Follows a change of the declared limits without losing the learned one. */
+export function setLimits(
+  state: Stewardship,
+  coldLimit: number,
+  warmLimit: number,
+): Stewardship {
+  const limit = Math.min(Math.max(state.limit, coldLimit), warmLimit);
+  return {...state, coldLimit, warmLimit, limit};
+}
--- /dev/null
+++ b/packages/store/src/client.ts
@@ -0,0 +1,225 @@
+/**
+ * Client of the platform's key-value service: compare-and-swap, leases and
+ * long-poll watches over HTTP and JSON. The only module that knows its wire
+ * format (docs/API.md, "Platform store").
+ */
+import {failure, messageOf, type Failure} from '@parsleyarch/errors/failure';
+import * as http from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {spend, type Budget} from './budget.js';
+
+/** A stored value with its version; versions of a key grow. */
+export interface Stored {
+  readonly key: string;
+  readonly value: unknown;
+  readonly version: number;
+}
+
+/** The answer to a conditional write. */
+export const WriteOutcome = {
+  /** The write took effect. */
+  created: 'created',
+  /** The condition did not hold; nothing was written. */
+  exists: 'exists',
+  /** No answer: the write may or may not have taken effect. */
+  lost: 'lost',
+  /** The store refused the call before doing anything. */
+  refused: 'refused',
+} as const;
+export type WriteOutcome = (typeof WriteOutcome)[keyof typeof WriteOutcome];
+
+/** The answer to a conditional write, with the new version when it is known. */
+export interface WriteResult {
+  readonly outcome: WriteOutcome;
+  readonly version?: number;
+}
+
+/** A client's connections and call budget. */
+export interface Store {
+  readonly address: URL;
+  readonly agent: http.Agent;
+  readonly budget: Budget;
+  /** Time after which a call without answer counts as lost, milliseconds. */
+  readonly timeoutMs: number;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Opens a client; nothing is sent until the first call. */
+export function openStore(
+  address: string,
+  budget: Budget,
+  timeoutMs = 1_000,
+): Store {
+  const agent = new http.Agent({keepAlive: true, maxSockets: 16});
+  return {address: new URL(address), agent, budget, timeoutMs};
+}
+
+/** Closes the client's connections; calls in flight count as lost. */
+export function closeStore(store: Store): void {
+  store.agent.destroy();
+}
+
+function send(
+  store: Store,
+  method: string,
+  path: string,
+  body: unknown,
+  headers: http.OutgoingHttpHeaders,
+  timeoutMs: number,
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const payload = body === undefined ? undefined : JSON.stringify(body);
+    const request = http.request(
+      new URL(path, store.address),
+      {
+        method,
+        agent: store.agent,
+        headers: {
+          ...headers,
+          ...(payload && {
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(payload),
+          }),
+        },
+      },
+      response => {
+        const chunks: Buffer[] = [];
+        response.on('data', chunk => chunks.push(chunk));
+        response.on('error', reject);
+        response.on('close', () => reject(new Error('answer was cut')));
+        response.on('end', () => {
+          const text = Buffer.concat(chunks).toString('utf8');
+          try {
+            const parsed = text === '' ? undefined : JSON.parse(text);
+            resolve({status: response.statusCode ?? 0, body: parsed});
+          } catch (thrown) {
+            reject(thrown);
+          }
+        });
+      },
+    );
+    const timer = setTimeout(
+      () => request.destroy(new Error(`no answer in ${timeoutMs} ms`)),
+      timeoutMs,
+    );
+    request.on('close', () => clearTimeout(timer));
+    request.on('error', reject);
+    request.end(payload);
+  });
+}
+
+function unavailable(text: string): Failure {
+  return failure('store-unavailable', text, {retryAfterMs: 1_000});
+}
+
+async function readCall(
+  store: Store,
+  path: string,
+  timeoutMs: number,
+): Promise<Result<Reply, Failure>> {
+  if (!spend(store.budget, 'read')) {
+    return err(unavailable('the read budget of this node is used up'));
+  }
+  try {
+    const reply = await send(store, 'GET', path, undefined, {}, timeoutMs);
+    if (reply.status === 200 || reply.status === 404) return ok(reply);
+    return err(unavailable(`the store answered ${reply.status}`));
+  } catch (thrown) {
+    return err(unavailable(messageOf(thrown)));
+  }
+}
+
+/** Reads one key; `undefined` when it is absent. */
+export async function readKey(
+  store: Store,
+  key: string,
+): Promise<Result<Stored | undefined, Failure>> {
+  const path = `/kv/${encodeURIComponent(key)}`;
+  const reply = await readCall(store, path, store.timeoutMs);
+  return reply.map(({status, body}) =>
+    status === 404 ? undefined : (body as Stored),
+  );
+}
+
+/** Reads up to `limit` keys of a prefix in key order, after a given key. */
+export async function readRange(
+  store: Store,
+  prefix: string,
+  after: string,
+  limit: number,
+): Promise<Result<Stored[], Failure>> {
+  const query = new URLSearchParams({prefix, after, limit: String(limit)});
+  const reply = await readCall(store, `/kv?${query}`, store.timeoutMs);
+  return reply.map(({body}) => (body as {items: Stored[]}).items);
+}
+
+/**
+ * Waits up to `waitMs` for keys of a prefix beyond `after` and returns them, or
+ * nothing when the time runs out. Counts as one read.
+ */
+export async function watchRange(
+  store: Store,
+  prefix: string,
+  after: string,
+  waitMs: number,
+): Promise<Result<Stored[], Failure>> {
+  const query = new URLSearchParams({prefix, after, waitMs: String(waitMs)});
+  const timeoutMs = waitMs + store.timeoutMs;
+  const reply = await readCall(store, `/watch?${query}`, timeoutMs);
+  return reply.map(({body}) => (body as {items: Stored[]}).items);
+}
+
+const WRITE_OUTCOMES: Readonly<Record<number, WriteOutcome>> = {
+  412: WriteOutcome.exists,
+  429: WriteOutcome.refused,
+};
+
+async function write(
+  store: Store,
+  key: string,
+  value: unknown,
+  condition: http.OutgoingHttpHeaders,
+): Promise<WriteResult> {
+  if (!spend(store.budget, 'write')) return {outcome: WriteOutcome.refused};
+  const path = `/kv/${encodeURIComponent(key)}`;
+  try {
+    const reply = await send(
+      store,
+      'PUT',
+      path,
+      {value},
+      condition,
+      store.timeoutMs,
+    );
+    if (reply.status === 200) {
+      const {version} = reply.body as {version: number};
+      return {outcome: WriteOutcome.created, version};
+    }
+    return {outcome: WRITE_OUTCOMES[reply.status] ?? WriteOutcome.lost};
+  } catch {
+    return {outcome: WriteOutcome.lost};
+  }
+}
+
+/** Creates a key only when it is absent. */
+export function createKey(
+  store: Store,
+  key: string,
+  value: unknown,
+): Promise<WriteResult> {
+  return write(store, key, value, {'if-none-match': '*'});
+}
+
+/** Replaces a key only at a known version. */
+export function swapKey(
+  store: Store,
+  key: string,
+  value: unknown,
+  version: number,
+): Promise<WriteResult> {
+  return write(store, key, value, {'if-match': String(version)});
+}
