--- /dev/null
+++ b/apps/router/test/bills.test.ts
@@ -0,0 +1,121 @@
+import {readBills} from '@parsleyarch/standins/bills';
+import {chat} from '@parsleyarch/standins/client';
+import {until} from '@parsleyarch/standins/cluster';
+import {
+  closeScenario,
+  CUSTOMER_KEY,
+  startScenario,
+  type Scenario,
+} from '@parsleyarch/standins/scenario';
+import {bringBack, takeDown} from '@parsleyarch/standins/store';
+import test from 'ava';
+import './exit.js';
+
+let scenario: Scenario;
+
+test.before(async () => {
+  scenario = await startScenario({
+    domains: ['gulberg', 'dha', 'johar'],
+    engineDomains: ['gulberg', 'dha', 'johar'],
+  });
+});
+
+test.after.always(() => closeScenario(scenario));
+
+/** Sends requests one by one to a node; gives the ids of whole answers. */
+async function serve(index: number, count: number): Promise<string[]> {
+  const node = scenario.cluster.nodes[index];
+  const ids: string[] = [];
+  for (let round = 0; round < count; round += 1) {
+    const answer = await chat(node.callers, CUSTOMER_KEY, `bill ${round}`);
+    if (answer.whole) ids.push(String(answer.headers['x-request-id']));
+  }
+  return ids;
+}
+
+/** How often each request was billed in all batches, repeats included. */
+function timesBilled(id: string): number {
+  let times = 0;
+  for (const {key, value} of scenario.cluster.store.items.values()) {
+    if (!key.startsWith('bill/')) continue;
+    const {bills} = value as {bills: Array<{requestId: string}>};
+    times += bills.filter(bill => bill.requestId === id).length;
+  }
+  return times;
+}
+
+function billed(ids: readonly string[]): Promise<void> {
+  return until('all bills', () => {
+    const stored = new Set(
+      readBills(scenario.cluster.store).map(b => b.requestId),
+    );
+    return ids.every(id => stored.has(id));
+  });
+}
+
+test.serial('each answer is billed once', async t => {
+  const ids = await serve(0, 8);
+  t.true(ids.length > 0);
+  await billed(ids);
+  for (const id of ids) t.is(timesBilled(id), 1);
+});
+
+test.serial('lost store answers bill nothing twice', async t => {
+  const {store} = scenario.cluster;
+  let writes = 0;
+  store.faults.loseWrite = key =>
+    key.startsWith('bill/') && (writes += 1) % 2 === 1;
+  const ids = await serve(1, 8);
+  await billed(ids);
+  store.faults.loseWrite = () => false;
+  for (const id of ids) t.is(timesBilled(id), 1);
+});
+
+test.serial(
+  'a request id sent again through another node is billed once',
+  async t => {
+    const [first, second] = scenario.cluster.nodes;
+    const headers = {'idempotency-key': 'order-of-service-7'};
+    const options = {headers};
+    const answers = [
+      await chat(first.callers, CUSTOMER_KEY, 'again', options),
+      await chat(second.callers, CUSTOMER_KEY, 'again', options),
+    ];
+    t.true(answers.every(answer => answer.whole));
+    const matching = () =>
+      readBills(scenario.cluster.store).filter(bill =>
+        bill.requestId.startsWith('order-of-service-7/'),
+      );
+    await until('the bill', () => matching().length > 0);
+    t.is(matching().length, 1);
+  },
+);
+
+test.serial('bills outlast an outage of the store', async t => {
+  const {store} = scenario.cluster;
+  takeDown(store);
+  const ids = await serve(0, 4);
+  t.true(ids.length > 0);
+  t.deepEqual(
+    ids.filter(id => timesBilled(id) > 0),
+    [],
+  );
+  bringBack(store);
+  await billed(ids);
+  for (const id of ids) t.is(timesBilled(id), 1);
+});
+
+test.serial(
+  'bills of a node that is killed after the last token are written',
+  async t => {
+    const {nodes, vmList, store} = scenario.cluster;
+    takeDown(store);
+    const ids = await serve(2, 4);
+    t.true(ids.length > 0);
+    await nodes[2].kill();
+    bringBack(store);
+    vmList.vms.delete(nodes[2].name);
+    await billed(ids);
+    for (const id of ids) t.is(timesBilled(id), 1);
+  },
+);
--- /dev/null
+++ b/apps/standins/src/bills.ts
@@ -0,0 +1,21 @@
+/** Reads bills from the store as the firms' accounts do. */
+import type {StoreStandIn} from './store.js';
+
+/** One bill as it stands in the store. */
+export interface StoredBill {
+  readonly customer: string;
+  readonly requestId: string;
+  readonly version: string;
+  readonly tokens: number;
+}
+
+/** Every bill once, by customer and request id. */
+export function readBills(store: StoreStandIn): StoredBill[] {
+  const seen = new Map<string, StoredBill>();
+  for (const {key, value} of store.items.values()) {
+    if (!key.startsWith('bill/')) continue;
+    for (const bill of (value as {bills: StoredBill[]}).bills)
+      seen.set(`${bill.customer} ${bill.requestId}`, bill);
+  }
+  return [...seen.values()];
+}
