--- a/apps/router/src/acquire.ts
+++ b/apps/router/src/acquire.ts
@@ -85,7 +85,10 @@
 }
 
 function paceOf(node: RouterNode, wish: Wish): PoolPace | undefined {
-  const fitting = viewUpstreams(node).filter(view => fits(view, wish.need));
+  const {need} = wish;
+  const fitting = viewUpstreams(node).filter(
+    view => fits(view, need) && !need.avoid.has(view.name),
+  );
   if (fitting.length === 0) return undefined;
   const nodes = liveNames(node).length;
   let credits = 0;
--- a/apps/standins/src/proxy.ts
+++ b/apps/standins/src/proxy.ts
@@ -23,6 +23,8 @@
   fault: (connection: number) => ProxyFault;
   /** Refuses connections and cuts those that are open. */
   partition(on: boolean): void;
+  /** Stops or starts listening; open connections go on. */
+  refuse(on: boolean): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -87,6 +89,13 @@
       parted = on;
       if (on) cutAll();
     },
+    async refuse(on) {
+      if (on) server.close();
+      else
+        await new Promise<void>(resolve =>
+          server.listen(port, '127.0.0.1', resolve),
+        );
+    },
     close() {
       cutAll();
       return new Promise(resolve => server.close(() => resolve()));
--- a/packages/policy/src/poison.ts
+++ b/packages/policy/src/poison.ts
@@ -15,19 +15,17 @@
   readonly suspects: readonly string[];
 }
 
-/** A request that ran on an upstream when it crashed. */
-interface Suspicion {
-  readonly crashes: number;
-  /** Monotonic milliseconds after which the suspicion is dropped. */
-  readonly until: number;
+/** What a node knows of poison requests; times are monotonic milliseconds. */
+export interface PoisonBook {
+  /** When each suspect may be forgotten. */
+  readonly suspicions: ReadonlyMap<string, number>;
+  /** Suspects that ran in each crash, over all nodes. */
+  readonly crashes: ReadonlyMap<string, CrashRecord>;
 }
 
-/** What a node knows of poison requests. */
-export interface PoisonBook {
-  readonly suspicions: ReadonlyMap<string, Suspicion>;
-  readonly convicted: ReadonlyMap<string, number>;
-  /** Suspects that each crash held, over all nodes. */
-  readonly crashes: ReadonlyMap<string, ReadonlySet<string>>;
+interface CrashRecord {
+  readonly suspects: ReadonlySet<string>;
+  readonly until: number;
 }
 
 /** How long a suspicion or a conviction lasts without new crashes. */
@@ -36,42 +34,56 @@
 /** A book without suspects. */
 export const EMPTY_BOOK: PoisonBook = {
   suspicions: new Map(),
-  convicted: new Map(),
   crashes: new Map(),
 };
 
-function mergeSuspects(
+function withCrash(
   book: PoisonBook,
   crash: Crash,
-): {key: string; suspects: ReadonlySet<string>} {
+  now: number,
+): {crashes: Map<string, CrashRecord>; record: CrashRecord} {
   const key = `${crash.upstream}@${crash.incarnation}`;
-  const known = book.crashes.get(key) ?? [];
-  return {key, suspects: new Set([...known, ...crash.suspects])};
+  const known = book.crashes.get(key)?.suspects ?? [];
+  const record = {
+    suspects: new Set([...known, ...crash.suspects]),
+    until: now + POISON_MEMORY_MS,
+  };
+  const crashes = new Map(
+    [...book.crashes].filter(([, {until}]) => until > now),
+  );
+  return {crashes: crashes.set(key, record), record};
 }
 
 /**
- * Enters one node's view of a crash. A crash with one suspect convicts it and
- * casts no suspicion on those beside it; any other makes suspects of all.
+ * Enters one node's view of a crash. A crash with one suspect convicts it, for
+ * as long as no other node names a second, and casts no suspicion on those
+ * beside it; any other crash makes suspects of all.
  */
 export function recordCrash(
   book: PoisonBook,
   crash: Crash,
   now: number,
 ): PoisonBook {
-  const {key, suspects} = mergeSuspects(book, crash);
-  const crashes = new Map(book.crashes).set(key, suspects);
-  const until = now + POISON_MEMORY_MS;
-  if (suspects.size === 1) {
-    const [culprit] = suspects;
-    const convicted = new Map(book.convicted).set(culprit, until);
-    return {...book, convicted, crashes};
-  }
-  const suspicions = new Map(book.suspicions);
-  for (const fingerprint of crash.fingerprints) {
-    const seen = suspicions.get(fingerprint)?.crashes ?? 0;
-    suspicions.set(fingerprint, {crashes: seen + 1, until});
+  const {crashes, record} = withCrash(book, crash, now);
+  if (record.suspects.size === 1) return {...book, crashes};
+  const suspicions = new Map(
+    [...book.suspicions].filter(([, until]) => until > now),
+  );
+  for (const fingerprint of [...crash.fingerprints, ...record.suspects])
+    suspicions.set(fingerprint, record.until);
+  return {suspicions, crashes};
+}
+
+function isConvicted(
+  book: PoisonBook,
+  fingerprint: string,
+  now: number,
+): boolean {
+  for (const {suspects, until} of book.crashes.values()) {
+    if (until <= now || suspects.size !== 1) continue;
+    if (suspects.has(fingerprint)) return true;
   }
-  return {...book, suspicions, crashes};
+  return false;
 }
 
 /** Clears a suspect that has run to its end. */
@@ -100,8 +112,7 @@
   fingerprint: string,
   now: number,
 ): Verdict {
-  if ((book.convicted.get(fingerprint) ?? 0) > now) return Verdict.refuse;
-  if ((book.suspicions.get(fingerprint)?.until ?? 0) > now)
-    return Verdict.suspect;
+  if (isConvicted(book, fingerprint, now)) return Verdict.refuse;
+  if ((book.suspicions.get(fingerprint) ?? 0) > now) return Verdict.suspect;
   return Verdict.innocent;
 }
--- /dev/null
+++ b/packages/policy/test/rollout.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava';
+import {
+  EMPTY_TALLY,
+  findHarm,
+  nextMove,
+  type VersionTally,
+} from '../src/rollout.js';
+import {seeded} from './random.js';
+
+const OLD_RATE = 0.05;
+
+function tally(seen: number, bad: number): VersionTally {
+  return {...EMPTY_TALLY, error: {seen, bad}};
+}
+
+/** Requests on the new version until it is found harmful, if it is. */
+function requestsUntilStop(seed: number, rate: number, most: number): number {
+  const random = seeded(seed);
+  const old = tally(2_000, Math.round(2_000 * OLD_RATE));
+  let bad = 0;
+  for (let seen = 1; seen <= most; seen += 1) {
+    if (random() < rate) bad += 1;
+    if (findHarm(tally(seen, bad), old)) return seen;
+  }
+  return Infinity;
+}
+
+test('an equal version is stopped in fewer than 1 of 100 roll-outs', t => {
+  let stops = 0;
+  for (let seed = 1; seed <= 400; seed += 1)
+    if (requestsUntilStop(seed, OLD_RATE, 1_000) < Infinity) stops += 1;
+  t.true(stops / 400 < 0.01, `${stops} of 400`);
+});
+
+test('a version bad by 50 points is stopped within a few requests', t => {
+  for (let seed = 1; seed <= 100; seed += 1)
+    t.true(requestsUntilStop(seed, OLD_RATE + 0.5, 200) <= 60);
+});
+
+const ROLLOUT = {
+  model: 'hymn',
+  from: 'hymn-1',
+  to: 'hymn-2',
+  steps: [10, 100],
+  step: 0,
+  state: 'running',
+} as const;
+
+test('a step is left only after enough requests and time', t => {
+  const spec = {...ROLLOUT, steps: [...ROLLOUT.steps]};
+  const good = tally(500, 20);
+  t.is(nextMove(spec, good, good, 5, 60_000, 1_000).move, 'stay');
+  t.is(nextMove(spec, good, good, 500, 10, 1_000).move, 'stay');
+  t.is(nextMove(spec, good, good, 500, 60_000, 1_000).move, 'advance');
+});
+
+test('harm rolls back, and a paused roll-out stays', t => {
+  const spec = {...ROLLOUT, steps: [...ROLLOUT.steps]};
+  const move = nextMove(spec, tally(50, 40), tally(500, 20), 50, 0, 1_000);
+  t.is(move.move, 'roll-back');
+  const paused = {...spec, state: 'paused' as const};
+  t.is(nextMove(paused, tally(50, 40), tally(500, 20), 50, 0, 0).move, 'stay');
+});
