Settle claims through refused store writes, and keep test ports apart

Cause: the control run of the mutation check failed where the suite passed: a refused order left its claim behind, and the caller's next try was told 'unknown'. The release was one write, and the node's budget of 20 writes a second was used up by the orders before; with the second's wait that the queue used to add it had refilled. The end of a claim is now written again, up to 3 s, while the store refuses or is silent; the outcome of a call is stored without keeping the caller, and a planned stop waits for it. Also: two test processes could be given one port; ports now come from a range of each process's own. One check compared a new node's revision with a number read before the nodes' own steward entries had landed; it now reads the newest that any node holds once the store is away, and still demands equality. Ruled out: a larger budget alone (the several hundred writes a second are for all nodes together); it was raised to 30 all the same, 9 nodes make 270.

--- a/apps/router/src/claims.ts
+++ b/apps/router/src/claims.ts
@@ -87,23 +87,44 @@
   );
 }
 
-/** Stores the outcome of a call; failing that, a repeat is told `unknown`. */
-export async function storeOutcome(
+/** Writes the last state of a claim, again while the store refuses or is silent. */
+async function finishClaim(
+  node: RouterNode,
+  held: HeldClaim,
+  last: Claim,
+): Promise<boolean> {
+  const giveUpAt = node.clock() + CLAIM_BOUND_MS;
+  while (node.clock() < giveUpAt) {
+    const {outcome} = await swapKey(node.store, held.key, last, held.version);
+    // `exists` after a lost answer: our own write took effect.
+    if (outcome === WriteOutcome.created) return true;
+    if (outcome === WriteOutcome.exists) return true;
+    await wait(CLAIM_PAUSE_MS);
+  }
+  node.log.warn({key: held.key}, 'the end of a call was not stored');
+  return false;
+}
+
+/**
+ * Stores the outcome of a call, without keeping the caller waiting. When that
+ * fails, a repeat of the key is told `unknown`.
+ */
+export function storeOutcome(
   node: RouterNode,
   held: HeldClaim,
   outcome: Outcome,
-): Promise<void> {
-  const done = {...held.claim, outcome};
-  const written = await swapKey(node.store, held.key, done, held.version);
-  if (written.outcome === WriteOutcome.created) return;
-  node.log.warn({key: held.key}, 'outcome of a call was not stored');
+): void {
+  // Counted as active, so that a planned stop waits for it.
+  node.active += 1;
+  void finishClaim(node, held, {...held.claim, outcome}).finally(() => {
+    node.active -= 1;
+  });
 }
 
-/** Gives up a claim under which no byte was sent. */
-export async function releaseClaim(
+/** Gives up a claim under which no byte was sent, before the caller is told. */
+export function releaseClaim(
   node: RouterNode,
   held: HeldClaim,
-): Promise<void> {
-  const released = {...held.claim, released: true};
-  await swapKey(node.store, held.key, released, held.version);
+): Promise<boolean> {
+  return finishClaim(node, held, {...held.claim, released: true});
 }
--- a/apps/router/src/plain.ts
+++ b/apps/router/src/plain.ts
@@ -230,7 +230,7 @@
   const result = await runCall(node, context, call, claim);
   if (earlier) return replay(earlier);
   if (!held) return result;
-  if (result.isOk()) await storeOutcome(node, held, keep(result.value));
+  if (result.isOk()) storeOutcome(node, held, keep(result.value));
   else if (result.error.run === Run.notRun) await releaseClaim(node, held);
   return result;
 }
--- a/apps/router/src/settings.ts
+++ b/apps/router/src/settings.ts
@@ -26,7 +26,7 @@
   store: z.strictObject({
     address: z.url(),
     readsPerSecond: z.number().positive().default(20),
-    writesPerSecond: z.number().positive().default(20),
+    writesPerSecond: z.number().positive().default(30),
     timeoutMs: z.number().int().positive().default(1_000),
   }),
   vmList: z.strictObject({address: z.url()}),
--- a/apps/router/test/config.test.ts
+++ b/apps/router/test/config.test.ts
@@ -139,8 +139,10 @@
   'a node that starts while the store is away learns all from peers',
   async t => {
     const {cluster} = scenario;
-    const revision = await revisionOf(cluster.nodes[0]);
     takeDown(cluster.store);
+    // Nodes append steward entries of their own: the newest that any holds.
+    const revisions = await Promise.all(cluster.nodes.map(revisionOf));
+    const revision = Math.max(...revisions);
     const fresh = await addNode(cluster, 'vm-4', 'gulberg');
     await until('the new node to hold the revision', async () => {
       return (await revisionOf(fresh)) >= revision;
--- a/apps/standins/src/cluster.ts
+++ b/apps/standins/src/cluster.ts
@@ -58,17 +58,30 @@
   readonly closers: Array<() => Promise<unknown>>;
 }
 
-/** A free port on loopback. */
-export function freePort(): Promise<number> {
+/** Ports below the ephemeral range, divided among processes. */
+const FIRST_PORT = 10_000;
+const PORT_SLOTS = 110;
+const PORTS_PER_SLOT = 200;
+let portsTaken = 0;
+
+function canListen(port: number): Promise<boolean> {
   return new Promise(resolve => {
     const server = net.createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const {port} = server.address() as net.AddressInfo;
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
 
+/** A free port that no other process of the tests will take. */
+export async function freePort(): Promise<number> {
+  const first = FIRST_PORT + (process.pid % PORT_SLOTS) * PORTS_PER_SLOT;
+  for (;;) {
+    const port = first + (portsTaken % PORTS_PER_SLOT);
+    portsTaken += 1;
+    if (await canListen(port)) return port;
+  }
+}
+
 /** SHA-256 of a key, in hexadecimal. */
 export function hashKey(key: string): string {
   return createHash('sha256').update(key).digest('hex');
--- a/apps/standins/src/proxy.ts
+++ b/apps/standins/src/proxy.ts
@@ -19,6 +19,8 @@
 export interface FaultProxy {
   readonly port: number;
   readonly address: string;
+  /** Bytes passed on so far, both ways. */
+  readonly passed: {bytes: number};
   /** Chosen anew for each connection, by its number from 0. */
   fault: (connection: number) => ProxyFault;
   /** Refuses connections and cuts those that are open. */
@@ -34,6 +36,7 @@
   fault: ProxyFault,
   cutAt: number | undefined,
   twice: boolean,
+  total: {bytes: number},
 ): void {
   let passed = 0;
   from.on('data', chunk => {
@@ -42,6 +45,7 @@
       const left = cutAt === undefined ? chunk.length : cutAt - passed;
       const part = chunk.subarray(0, Math.max(0, left));
       passed += part.length;
+      total.bytes += part.length;
       if (!to.destroyed) to.write(part);
       if (twice && !to.destroyed) to.write(part);
       if (part.length < chunk.length) {
@@ -61,6 +65,7 @@
   const sockets = new Set<net.Socket>();
   let parted = false;
   let connections = 0;
+  const passed = {bytes: 0};
   const server = net.createServer(client => {
     if (parted) {
       client.resetAndDestroy();
@@ -73,8 +78,15 @@
       sockets.add(socket);
       socket.on('close', () => sockets.delete(socket));
     }
-    pass(client, upstream, fault, fault.cutUpAt, false);
-    pass(upstream, client, fault, fault.cutDownAt, fault.answerTwice ?? false);
+    pass(client, upstream, fault, fault.cutUpAt, false, passed);
+    pass(
+      upstream,
+      client,
+      fault,
+      fault.cutDownAt,
+      fault.answerTwice ?? false,
+      passed,
+    );
   });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as net.AddressInfo;
@@ -84,6 +96,7 @@
   const proxy: FaultProxy = {
     port,
     address: `http://127.0.0.1:${port}`,
+    passed,
     fault: () => ({}),
     partition(on) {
       parted = on;
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,7 +11,7 @@
   'packages/peer': ['errors', 'protocol'],
   'packages/lifecycle': ['errors'],
   'packages/telemetry': [],
-  'apps/standins': ['resource'],
+  'apps/standins': ['resource', 'policy', 'protocol'],
 };
 
 const PACKAGES = [
--- a/tools/bite.mjs
+++ b/tools/bite.mjs
@@ -41,7 +41,9 @@
   if (built.status !== 0) throw new Error(built.stderr);
   const args = [AVA, test, '--fail-fast', '--timeout=60s'];
   if (match) args.push('--match', match);
-  return run(...args).status === 0;
+  const result = run(...args);
+  if (process.env['BITE_OUTPUT']) console.log(result.stdout, result.stderr);
+  return result.status === 0;
 }
 
 /** Links every installed package but the workspace's own, which is copied. */
