Measure the decisions, and learn of paths that may be cheaper

Change: trials go to the least known part of the cheapest path that might meet the target; they are checked at the target, so they cost money, not quality.

--- a/apps/standins/src/main.ts
+++ b/apps/standins/src/main.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs';
 import {runDemo} from './demo.js';
 import {startEngine} from './engine.js';
+import {MEASURES, runMeasure} from './measures/run.js';
 import {startRater, startVmList} from './platform.js';
 import {startService} from './service.js';
 import {startStore} from './store.js';
@@ -18,6 +19,28 @@
     const violations = await runDemo();
     process.exit(violations === 0 ? 0 : 1);
   })
+  .command(
+    'measure',
+    'run one measurement',
+    {
+      scenario: {choices: Object.keys(MEASURES)},
+      seed: {type: 'number', default: 1},
+      json: {
+        type: 'boolean',
+        default: false,
+        describe: 'print the result only',
+      },
+      list: {type: 'boolean', default: false, describe: 'name the scenarios'},
+    },
+    async argv => {
+      if (argv.list || !argv.scenario) {
+        console.log(Object.keys(MEASURES).join('\n'));
+        return;
+      }
+      const violations = await runMeasure(argv.scenario, argv.seed, argv.json);
+      process.exit(violations === 0 ? 0 : 1);
+    },
+  )
   .command('store', 'run a key-value store', {port}, async argv =>
     say((await startStore(argv.port)).server),
   )
--- a/apps/standins/src/measures/cascade.ts
+++ b/apps/standins/src/measures/cascade.ts
@@ -104,6 +104,8 @@
 interface Outcome {
   cost: number;
   quality: number;
+  /** Version that gave the answer. */
+  version: string;
   /** Ratings that the path itself brought about. */
   readonly rated: Array<[string, number]>;
 }
@@ -116,7 +118,12 @@
   const find = (name: string) => task.versions.find(v => v.name === name)!;
   const first = find(path.first);
   const quality = first.draw(random);
-  const outcome: Outcome = {cost: first.cost, quality, rated: []};
+  const outcome: Outcome = {
+    cost: first.cost,
+    quality,
+    version: first.name,
+    rated: [],
+  };
   if (!path.second) return outcome;
   outcome.cost += CHECK.cost;
   outcome.rated.push([first.name, quality]);
@@ -124,6 +131,7 @@
   const second = find(path.second);
   outcome.cost += second.cost;
   outcome.quality = second.draw(random);
+  outcome.version = second.name;
   return outcome;
 }
 
@@ -134,6 +142,7 @@
   threshold: 0,
   cost: 0,
   quality: 0,
+  hope: 0,
   explored: false,
 });
 
@@ -181,10 +190,11 @@
     learn(task: TaskClass, path: CascadePath, outcome: Outcome, at: number) {
       for (const [version, rating] of outcome.rated)
         enter(key(task, version), rating);
-      if (path.second || random() >= RATED_SHARE) return;
+      const checked = path.second && outcome.version === path.first;
+      if (checked || random() >= RATED_SHARE) return;
       late.push({
         due: at + RATING_LAG,
-        key: key(task, path.first),
+        key: key(task, outcome.version),
         rating: outcome.quality,
       });
     },
@@ -245,9 +255,17 @@
     for (const [name, plan] of Object.entries(plans))
       enterOutcome(sumOf(name), task, follow(task, plan(task), draws));
   }
+  const name = ({first, second, threshold}: CascadePath) =>
+    second ? `${first} > ${second} under ${threshold}` : first;
+  const paths = Object.fromEntries(
+    classes.map(task => [
+      task.name,
+      `${name(learner.plan(task, REQUESTS))}; oracle: ${name(oracle(task))}`,
+    ]),
+  );
   const figures = Object.fromEntries(
-    Object.entries(sums).map(([name, sum]) => [
-      name,
+    Object.entries(sums).map(([policy, sum]) => [
+      policy,
       {
         costToOracle: round(sum.cost / sums['oracle'].cost),
         worstMissPoints: round(worstMiss(sum, classes) * 100, 2),
@@ -257,5 +275,5 @@
   const ours = sums['parsleyarch'];
   const dear = ours.cost / sums['oracle'].cost > 1.1;
   const missed = worstMiss(ours, classes) > TOLERANCE;
-  return {violations: (dear ? 1 : 0) + (missed ? 1 : 0), ...figures};
+  return {violations: (dear ? 1 : 0) + (missed ? 1 : 0), ...figures, paths};
 }
--- /dev/null
+++ b/apps/standins/src/measures/domain.ts
@@ -0,0 +1,95 @@
+/** Service while a failure domain leaves and returns under load. */
+import {declare, inForce} from '../cluster.js';
+import {closeScenario, startScenario} from '../scenario.js';
+import {seeded, type Measure} from './figures.js';
+import {runLoad, type LoadResult} from './load.js';
+
+const PLACES = ['bayanzurkh', 'sukhbaatar', 'khan-uul'];
+const RATE = 60;
+const PHASE_SECONDS = 5;
+/** Bound after which a domain that is out may get nothing new. */
+const OUT_BOUND_MS = 2_000;
+
+const short = ({
+  whole,
+  refused,
+  failed,
+  cut,
+  wrong,
+  firstToken,
+}: LoadResult) => ({
+  whole,
+  refused,
+  failed,
+  cut,
+  wrong,
+  firstToken,
+});
+
+/** Three phases: all in, one out, back in. */
+export const measureDomain: Measure = async (seed, say) => {
+  const random = seeded(seed);
+  const scenario = await startScenario({
+    domains: PLACES,
+    engineDomains: [...PLACES, ...PLACES],
+    engine: {coldLimit: 2, warmLimit: 8, warmEvery: 2, tokenMs: 8},
+    logLevel: 'error',
+  });
+  const {cluster, engines} = scenario;
+  const load = (label: string) =>
+    runLoad({
+      nodes: () => cluster.nodes,
+      requestsPerSecond: RATE,
+      seconds: PHASE_SECONDS,
+      random,
+      label: `${label} ${seed}`,
+    });
+  const set = (state: 'in' | 'out') =>
+    declare(cluster.nodes[0], [
+      {
+        kind: 'FailureDomain',
+        name: PLACES[0],
+        spec: {region: 'ulaanbaatar', state},
+      },
+    ]);
+  const inside = [...engines.instances.entries()]
+    .filter(([name]) => name === 'engine-1' || name === 'engine-4')
+    .map(([, engine]) => engine);
+  try {
+    await load('warm');
+    say('all in');
+    const before = await load('before');
+    say('one domain out');
+    const outAt = Date.now();
+    await set('out');
+    const during = await load('during');
+    const last = Math.max(...inside.map(engine => engine.lastBegunAt));
+    const lastWorkMs = Math.max(0, last - outAt);
+    say('back in');
+    const backAt = Date.now();
+    await inForce(cluster, await set('in'));
+    const after = await load('after');
+    const begun = inside.some(engine => engine.lastBegunAt > backAt);
+    const phases = [before, during, after];
+    const crashes = [...engines.instances.values()].reduce(
+      (sum, engine) => sum + engine.crashes,
+      0,
+    );
+    const broken = phases.reduce(
+      (sum, p) => sum + p.cut + p.wrong + p.failed,
+      0,
+    );
+    const late = lastWorkMs > OUT_BOUND_MS ? 1 : 0;
+    return {
+      violations: broken + late + crashes,
+      lastWorkInDomainMs: lastWorkMs,
+      servesAgain: begun,
+      crashes,
+      before: short(before),
+      during: short(during),
+      after: short(after),
+    };
+  } finally {
+    await closeScenario(scenario);
+  }
+};
--- a/apps/standins/src/scenario.ts
+++ b/apps/standins/src/scenario.ts
@@ -33,8 +33,8 @@
   readonly engine?: Partial<EngineOptions>;
   /** Address under which an engine is declared. */
   readonly engineAddress?: (engine: EngineStandIn) => Promise<string>;
-  /** Concurrency that is declared; default: what engines bear. */
-  readonly declaredWarm?: number;
+  /** Cold limit that is declared; default: what engines bear when cold. */
+  readonly declaredCold?: number;
   readonly requestsPerSecond?: number;
 }
 
@@ -110,7 +110,7 @@
     ...declared,
     spec: {
       ...declared.spec,
-      ...(options.declaredWarm && {warmLimit: options.declaredWarm}),
+      ...(options.declaredCold && {coldLimit: options.declaredCold}),
     },
   }));
   const revision = await declare(cluster.nodes[0], [
--- a/packages/policy/src/cascade.ts
+++ b/packages/policy/src/cascade.ts
@@ -50,15 +50,24 @@
   readonly cost: number;
   /** Lower estimate of the mean quality. */
   readonly quality: number;
+  /** Upper estimate of the mean quality. */
+  readonly hope: number;
+  /** Whether the path is tried in order to learn. */
   readonly explored: boolean;
 }
 
 /** Ratings that a declared quality counts for. */
 const PRIOR_RATINGS = 6;
 /** Standard errors below the mean at which quality is estimated. */
-const CAUTION = 1;
-/** Share of requests that try a version which might turn out cheaper. */
-export const EXPLORE_SHARE = 0.02;
+const CAUTION = 0.3;
+/** Standard errors above the mean up to which a path is worth learning of. */
+const HOPE = 1;
+/** Ratings below which a version is too little known to be judged. */
+const KNOWN_RATINGS = 80;
+/** Share of requests spent on learning of paths that may be cheaper. */
+const EXPLORE_SHARE = 0.08;
+/** Share of requests that try a known version again, in case it has changed. */
+const REVISIT_SHARE = 0.002;
 
 function count(ratings: RatingCounts): number {
   return ratings.reduce((total, bin) => total + bin, 0);
@@ -105,6 +114,7 @@
     threshold: 0,
     cost: option.cost,
     quality: mean - CAUTION * error,
+    hope: mean + HOPE * error,
     explored: false,
   };
 }
@@ -119,15 +129,17 @@
   const last = singlePath(dear);
   const failed = 1 - pass.chance;
   const seen = count(cheap.ratings);
-  const error = Math.sqrt((pass.chance * failed + 0.01) / (seen + 1));
-  const quality =
-    pass.chance * pass.quality + failed * last.quality - CAUTION * error * 0.1;
+  // What an error in the share of passes does to the mean quality.
+  const share = Math.sqrt((pass.chance * failed + 0.01) / (seen + 1));
+  const swing = share * Math.abs(pass.quality - last.quality);
+  const passed = pass.chance * pass.quality;
   return {
     first: cheap.version,
     second: dear.version,
     threshold,
     cost: cheap.cost + checkCost + failed * dear.cost,
-    quality,
+    quality: passed + failed * last.quality - CAUTION * swing,
+    hope: passed + failed * last.hope + HOPE * swing,
     explored: false,
   };
 }
@@ -158,25 +170,62 @@
   return paths;
 }
 
+function leastKnown(
+  options: readonly CascadeOption[],
+  best: CascadePath,
+): CascadeOption | undefined {
+  let least: CascadeOption | undefined;
+  for (const option of options) {
+    if (option.cost >= best.cost || option.version === best.first) continue;
+    if (least && count(option.ratings) >= count(least.ratings)) continue;
+    least = option;
+  }
+  return least;
+}
+
+/** The version whose ratings might show that a cheaper path is good enough. */
+function worthLearning(
+  options: readonly CascadeOption[],
+  paths: readonly CascadePath[],
+  need: CascadeNeed,
+  best: CascadePath,
+): string | undefined {
+  const least = leastKnown(options, best);
+  if (least && count(least.ratings) < KNOWN_RATINGS) return least.version;
+  let hopeful: CascadePath | undefined;
+  for (const path of paths) {
+    if (path.cost >= best.cost || path.hope < need.target) continue;
+    if (!hopeful || path.cost < hopeful.cost) hopeful = path;
+  }
+  if (!hopeful) return undefined;
+  const {first, second} = hopeful;
+  const parts = options.filter(
+    ({version}) => version === first || version === second,
+  );
+  parts.sort((a, b) => count(a.ratings) - count(b.ratings));
+  return parts[0]?.version;
+}
+
 /**
- * A checked trial of a version that is too little known and, by its upper
- * estimate, might meet the target more cheaply.
+ * A checked trial of a version. Its answer is given only if it passes the check
+ * at the target, so a trial costs money, not quality.
  */
 function explore(
   options: readonly CascadeOption[],
+  paths: readonly CascadePath[],
   need: CascadeNeed,
   best: CascadePath,
+  random: () => number,
 ): CascadePath | undefined {
-  for (const option of [...options].sort((a, b) => a.cost - b.cost)) {
-    if (option.cost >= best.cost || option.answerMs > need.deadlineMs) continue;
-    const {mean, error} = estimateQuality(option);
-    if (mean + 2 * error < need.target) continue;
-    const checked = need.check
-      ? {second: best.first, threshold: need.target}
-      : {threshold: 0};
-    return {...best, ...checked, first: option.version, explored: true};
-  }
-  return undefined;
+  const draw = random();
+  if (!need.check || draw >= EXPLORE_SHARE) return undefined;
+  const revisit = draw < REVISIT_SHARE;
+  const first = revisit
+    ? leastKnown(options, best)?.version
+    : worthLearning(options, paths, need, best);
+  if (!first) return undefined;
+  const second = best.second ?? best.first;
+  return {...best, first, second, threshold: need.target, explored: true};
 }
 
 /**
@@ -196,9 +245,6 @@
     return {path, meets: false};
   }
   const best = good.reduce((a, b) => (b.cost < a.cost ? b : a));
-  if (random() < EXPLORE_SHARE) {
-    const trial = explore(options, need, best);
-    if (trial) return {path: trial, meets: true};
-  }
-  return {path: best, meets: true};
+  const trial = explore(options, paths, need, best, random);
+  return {path: trial ?? best, meets: true};
 }
