--- /dev/null
+++ b/apps/router/test/cascade.test.ts
@@ -0,0 +1,75 @@
+import {chat} from '@parsleyarch/standins/client';
+import {operate, until} from '@parsleyarch/standins/cluster';
+import {
+  closeScenario,
+  CUSTOMER_KEY,
+  startScenario,
+  type Scenario,
+} from '@parsleyarch/standins/scenario';
+import test from 'ava';
+import './exit.js';
+
+let scenario: Scenario;
+
+test.before(async () => {
+  scenario = await startScenario({
+    domains: ['gulberg', 'dha'],
+    engineDomains: ['gulberg', 'dha'],
+    engine: {coldLimit: 8, warmLimit: 8},
+  });
+});
+
+test.after.always(() => closeScenario(scenario));
+
+const ask = (target: string, taskClass: string, index: number) =>
+  chat(scenario.cluster.nodes[index % 2].callers, CUSTOMER_KEY, `q ${index}`, {
+    model: 'auto',
+    headers: {'x-quality-target': target, 'x-task-class': taskClass},
+  });
+
+test.serial(
+  'a low target is met by the cheap model, a high one by the dear',
+  async t => {
+    const low = await ask('0.5', 'general', 0);
+    t.is(low.headers['x-version'], 'announce-1');
+    const high = await ask('0.8', 'general', 1);
+    t.not(high.headers['x-version'], 'announce-1');
+  },
+);
+
+test.serial('ratings teach all nodes that a cheap model will do', async t => {
+  // Declared at 0.6, the cheap model does much better at this task.
+  scenario.cluster.rater.quality = () => 0.92;
+  let index = 0;
+  await until('the cheap model to be chosen on both nodes', async () => {
+    const answers = await Promise.all(
+      Array.from({length: 10}, () => ask('0.75', 'status', (index += 1))),
+    );
+    const versions = answers.map(answer => answer.headers['x-version']);
+    return versions.every(version => version === 'announce-1');
+  });
+  t.pass();
+});
+
+test.serial(
+  'a check that fails gives the dear answer, and says why',
+  async t => {
+    scenario.cluster.rater.quality = version =>
+      version === 'announce-1' ? 0.2 : 0.95;
+    const {nodes} = scenario.cluster;
+    let index = 1_000;
+    await until('a failed check', async () => {
+      const answer = await ask('0.75', 'status', (index += 1));
+      const id = encodeURIComponent(String(answer.headers['x-request-id']));
+      const explained = await operate(nodes[0], 'GET', `/v1/explain/${id}`);
+      const lines =
+        (explained.json as {lines?: Array<{decision: string; choice: string}>})
+          .lines ?? [];
+      const check = lines.find(line => line.decision === 'cascade-check');
+      if (!check || check.choice === 'announce-1') return false;
+      t.true(answer.whole);
+      t.is(answer.headers['x-version'], check.choice);
+      return true;
+    });
+  },
+);
--- /dev/null
+++ b/apps/router/test/settings.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {parseSettings} from '../src/settings.js';
+
+const VALID = `{
+  // One entry VM.
+  "node": "vm-1",
+  "failureDomain": "gulberg",
+  "callers": {"host": "127.0.0.1", "port": 7001},
+  "operators": {"host": "127.0.0.1", "port": 7002},
+  "peers": {"host": "127.0.0.1", "port": 7003},
+  "store": {"address": "http://127.0.0.1:7100"},
+  "vmList": {"address": "http://127.0.0.1:7101"},
+  "peerKey": "0123456789abcdef",
+  "sessionKey": "0123456789abcdef",
+  "operatorKeys": [{"author": "ada", "keyHash": "${'0'.repeat(64)}"}],
+}`;
+
+test('settings with comments and defaults are read', t => {
+  const settings = parseSettings(VALID, 'node.jsonc')._unsafeUnwrap();
+  t.is(settings.node, 'vm-1');
+  t.is(settings.store.writesPerSecond, 30);
+});
+
+test('every error is listed with its line and what was expected', t => {
+  const broken = VALID.replace('7001', '"seven"').replace(
+    '"failureDomain": "gulberg",',
+    '"failureDomian": "gulberg",',
+  );
+  const {message} = parseSettings(broken, 'node.jsonc')._unsafeUnwrapErr();
+  t.regex(message, /node\.jsonc:5: callers\.port: .*number/);
+  t.regex(message, /failureDomain: .*string/);
+  t.regex(message, /failureDomian/);
+});
+
+test('broken JSON is named with its line', t => {
+  const {message} = parseSettings('{\n  "node" 1\n}', 'x')._unsafeUnwrapErr();
+  t.regex(message, /^x:2: /);
+});
+
+test('no text makes the reader throw', t => {
+  const piece = fc.constantFrom('{', '}', '"node"', ':', '1', ',', '[', '//');
+  const text = fc.oneof(
+    fc.string(),
+    fc.array(piece).map(parts => parts.join('')),
+    fc.json(),
+  );
+  fc.assert(
+    fc.property(text, input => parseSettings(input, 'x').isErr()),
+    {seed: 20_261_203, numRuns: 500},
+  );
+  t.pass();
+});
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -6,14 +6,19 @@
 import {failure, messageOf, type Failure} from '@parsleyarch/errors/failure';
 import * as http from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
 import {spend, type Budget} from './budget.js';
 
+const StoredItem = z.object({
+  key: z.string(),
+  value: z.unknown(),
+  version: z.number(),
+});
+const Items = z.object({items: z.array(StoredItem)});
+const Written = z.object({version: z.number()});
+
 /** A stored value with its version; versions of a key grow. */
-export interface Stored {
-  readonly key: string;
-  readonly value: unknown;
-  readonly version: number;
-}
+export type Stored = Readonly<z.infer<typeof StoredItem>>;
 
 /** The answer to a conditional write. */
 export const WriteOutcome = {
@@ -116,18 +121,23 @@
   return failure('store-unavailable', text, {retryAfterMs: 1_000});
 }
 
-async function readCall(
+async function readCall<T>(
   store: Store,
   path: string,
+  schema: z.ZodType<T>,
   timeoutMs: number,
-): Promise<Result<Reply, Failure>> {
+): Promise<Result<T | undefined, Failure>> {
   if (!spend(store.budget, 'read')) {
     return err(unavailable('the read budget of this node is used up'));
   }
   try {
     const reply = await send(store, 'GET', path, undefined, {}, timeoutMs);
-    if (reply.status === 200 || reply.status === 404) return ok(reply);
-    return err(unavailable(`the store answered ${reply.status}`));
+    if (reply.status === 404) return ok(undefined);
+    if (reply.status !== 200)
+      return err(unavailable(`the store answered ${reply.status}`));
+    const parsed = schema.safeParse(reply.body);
+    if (parsed.success) return ok(parsed.data);
+    return err(unavailable('the store answered something else'));
   } catch (thrown) {
     return err(unavailable(messageOf(thrown)));
   }
@@ -139,10 +149,15 @@
   key: string,
 ): Promise<Result<Stored | undefined, Failure>> {
   const path = `/kv/${encodeURIComponent(key)}`;
-  const reply = await readCall(store, path, store.timeoutMs);
-  return reply.map(({status, body}) =>
-    status === 404 ? undefined : (body as Stored),
-  );
+  return readCall(store, path, StoredItem, store.timeoutMs);
+}
+
+/** An absent range would pass for an empty one, and so confirm a revision. */
+function itemsOf(
+  found: z.infer<typeof Items> | undefined,
+): Result<Stored[], Failure> {
+  if (found) return ok(found.items);
+  return err(unavailable('the store has no ranges here'));
 }
 
 /** Reads up to `limit` keys of a prefix in key order, after a given key. */
@@ -153,8 +168,8 @@
   limit: number,
 ): Promise<Result<Stored[], Failure>> {
   const query = new URLSearchParams({prefix, after, limit: String(limit)});
-  const reply = await readCall(store, `/kv?${query}`, store.timeoutMs);
-  return reply.map(({body}) => (body as {items: Stored[]}).items);
+  const reply = await readCall(store, `/kv?${query}`, Items, store.timeoutMs);
+  return reply.andThen(itemsOf);
 }
 
 /**
@@ -169,8 +184,8 @@
 ): Promise<Result<Stored[], Failure>> {
   const query = new URLSearchParams({prefix, after, waitMs: String(waitMs)});
   const timeoutMs = waitMs + store.timeoutMs;
-  const reply = await readCall(store, `/watch?${query}`, timeoutMs);
-  return reply.map(({body}) => (body as {items: Stored[]}).items);
+  const reply = await readCall(store, `/watch?${query}`, Items, timeoutMs);
+  return reply.andThen(itemsOf);
 }
 
 const WRITE_OUTCOMES: Readonly<Record<number, WriteOutcome>> = {
@@ -196,8 +211,9 @@
       store.timeoutMs,
     );
     if (reply.status === 200) {
-      const {version} = reply.body as {version: number};
-      return {outcome: WriteOutcome.created, version};
+      const written = Written.safeParse(reply.body);
+      if (!written.success) return {outcome: WriteOutcome.lost};
+      return {outcome: WriteOutcome.created, version: written.data.version};
     }
     return {outcome: WRITE_OUTCOMES[reply.status] ?? WriteOutcome.lost};
   } catch {
