Place versions on upstreams by demand, with fencing numbers

Chosen: the holder of the control group decides each second from reports and demand; its fencing number is the log revision that named it; engines that ignore numbers are ordered only once a former holder can no longer act. Found on the way: a load makes an engine cold without breaking streams, and the poison book took every request that ran there for a suspect of a crash; now only requests whose connection broke are.

--- a/apps/router/src/generation.ts
+++ b/apps/router/src/generation.ts
@@ -197,6 +197,7 @@
   const {address} = taken.upstream.spec;
   const stream = generate(node.engines, address, job, signal);
   let result = await passOn(stream, progress, sink, onFirst);
+  running.broken = result.isErr() && result.error.kind === 'upstream-lost';
   if (result.isErr() && result.error.run !== Run.notRun && !signal.aborted)
     result = await resumeHere(node, context, taken, progress, sink);
   const leave = signal.aborted ? Leave.dropped : leaveFor(result, slow);
--- a/apps/router/src/node.ts
+++ b/apps/router/src/node.ts
@@ -55,6 +55,8 @@
   readonly requestId: string;
   readonly fingerprint: string;
   readonly suspect: boolean;
+  /** Set once its connection broke. */
+  broken?: boolean;
 }
 
 /** A grant as this node received it. */
--- a/apps/router/src/serve.ts
+++ b/apps/router/src/serve.ts
@@ -15,6 +15,7 @@
 import {brakeHarmful, shareCounters} from './learning.js';
 import {createNode, type RouterNode} from './node.js';
 import {listenForOperators} from './operators.js';
+import {createPlacement, placementStep} from './placement.js';
 import {peerHandlers} from './peering.js';
 import {spreadPins} from './sessions.js';
 import type {Settings} from './settings.js';
@@ -31,6 +32,7 @@
   bills: 1_000,
   copies: 1_000,
   control: 1_000,
+  placement: 1_000,
   counters: 1_000,
   pins: 1_000,
 } as const;
@@ -124,6 +126,7 @@
 
 function startProcesses(node: RouterNode): void {
   const starts: StepStarts = new Map();
+  const placement = createPlacement();
   run(node, 'tail', PAUSE_MS.tail, () => tailStep(node));
   run(node, 'beat', PAUSE_MS.beat, () => beatStep(node));
   run(node, 'vm-list', PAUSE_MS.vmList, () => vmListStep(node));
@@ -131,6 +134,9 @@
   run(node, 'bills', PAUSE_MS.bills, () => writeBills(node));
   run(node, 'copies', PAUSE_MS.copies, () => writeCopies(node));
   run(node, 'control', PAUSE_MS.control, () => controlStep(node, starts));
+  run(node, 'placement', PAUSE_MS.placement, () =>
+    placementStep(node, placement),
+  );
   run(node, 'counters', PAUSE_MS.counters, () => shareCounters(node));
   run(node, 'pins', PAUSE_MS.pins, () => spreadPins(node));
   runCredits(node);
--- a/apps/router/src/stewards.ts
+++ b/apps/router/src/stewards.ts
@@ -36,6 +36,8 @@
 /** Allowance for clocks and calls in the wait of a new steward. */
 const TAKEOVER_SLACK_MS = 500;
 const HANDOVER_TIMEOUT_MS = 500;
+/** Time after which a former holder that was cut off acts no more. */
+export const TAKEOVER_WAIT_MS = FRESH_BOUND_MS + TAKEOVER_SLACK_MS;
 
 type StewardChange = Change<'Steward'>;
 
--- a/apps/router/src/upstreams.ts
+++ b/apps/router/src/upstreams.ts
@@ -64,7 +64,7 @@
   const broken = upstream.lost.filter(({at}) => at >= since);
   const ran = [
     ...broken.map(({running}) => running),
-    ...upstream.running.values(),
+    ...[...upstream.running.values()].filter(({broken}) => broken),
   ];
   upstream.lost = [];
   node.log.warn({upstream: upstream.name, incarnation}, 'upstream restarted');
@@ -138,9 +138,10 @@
     );
     let suspects = 0;
     for (const {suspect} of running.values()) if (suspect) suspects += 1;
+    const held = spec.slots ? (report?.versions ?? []) : spec.versions;
     views.push({
       name,
-      spec,
+      spec: {...spec, versions: held},
       domainOut: domain?.spec.state === 'out',
       reachable: report !== undefined,
       credits: goodCredits(node, upstream),
--- /dev/null
+++ b/apps/router/test/placement.test.ts
@@ -0,0 +1,113 @@
+import {chat} from '@parsleyarch/standins/client';
+import {declare, operate, until} from '@parsleyarch/standins/cluster';
+import type {EngineStandIn} from '@parsleyarch/standins/engine';
+import {
+  closeScenario,
+  CUSTOMER_KEY,
+  startScenario,
+  type Scenario,
+} from '@parsleyarch/standins/scenario';
+import test from 'ava';
+import './exit.js';
+
+let scenario: Scenario;
+
+test.before(async () => {
+  scenario = await startScenario({
+    domains: ['gulberg', 'dha', 'johar'],
+    engineDomains: ['gulberg', 'gulberg', 'dha', 'johar'],
+    engine: {slots: 1, coldLimit: 4, warmLimit: 4},
+  });
+});
+
+test.after.always(() => closeScenario(scenario));
+
+const engines = (): EngineStandIn[] => [...scenario.engines.instances.values()];
+const holders = (version: string) =>
+  [...scenario.engines.instances.entries()]
+    .filter(([, engine]) => engine.held.has(version))
+    .map(([name]) => name);
+
+const version = (name: string, minReplicas: number, state = 'active') => ({
+  kind: 'Version',
+  name,
+  spec: {model: 'hymn', tokenCost: 20, minReplicas, state},
+});
+
+test.serial(
+  'a version is loaded in two failure domains, and then serves',
+  async t => {
+    await declare(scenario.cluster.nodes[0], [version('hymn-1', 2)]);
+    await until('two replicas', () => holders('hymn-1').length === 2);
+    const domains = scenario.engines.declarations
+      .filter(declared => holders('hymn-1').includes(declared.name))
+      .map(declared => declared.spec['failureDomain']);
+    t.is(new Set(domains).size, 2);
+    await until('an answer', async () => {
+      const [node] = scenario.cluster.nodes;
+      return (await chat(node.callers, CUSTOMER_KEY, 'placed')).whole;
+    });
+  },
+);
+
+test.serial(
+  'a failure domain that is out is made up for elsewhere',
+  async t => {
+    const before = holders('hymn-1');
+    const [lost] = scenario.engines.declarations.filter(
+      declared => declared.name === before[0],
+    );
+    const name = String(lost.spec['failureDomain']);
+    const domain = (state: string) => ({
+      kind: 'FailureDomain',
+      name,
+      spec: {region: 'lahore', state},
+    });
+    await declare(scenario.cluster.nodes[1], [domain('out')]);
+    await until('a replica elsewhere', () => holders('hymn-1').length === 3);
+    t.pass();
+    await declare(scenario.cluster.nodes[1], [domain('in')]);
+  },
+);
+
+test.serial(
+  'a withdrawn version is unloaded and gives its slots to another',
+  async t => {
+    await declare(scenario.cluster.nodes[0], [
+      version('hymn-1', 2, 'withdrawn'),
+      version('hymn-2', 4),
+    ]);
+    await until('the new version everywhere', () => {
+      return holders('hymn-2').length === 4;
+    });
+    t.is(holders('hymn-1').length, 0);
+  },
+);
+
+test.serial('a frozen controller that wakes changes nothing', async t => {
+  const {nodes} = scenario.cluster;
+  const steward = async () => {
+    const [first, second] = nodes;
+    const asked = first.name === old ? second : first;
+    const answer = await operate(asked, 'GET', '/v1/Steward/control');
+    return answer.json as {spec: {node: string}; revision: number};
+  };
+  let old = '';
+  old = (await steward()).spec.node;
+  const paused = nodes.find(node => node.name === old)!;
+  paused.freeze();
+  await until('a new holder', async () => (await steward()).spec.node !== old);
+  const {revision} = await steward();
+  const other = nodes.find(node => node !== paused)!;
+  await declare(other, [version('hymn-1', 1), version('hymn-2', 1)]);
+  await until('an order of the new holder', () =>
+    engines().some(engine => engine.fence >= revision),
+  );
+  const wokenAt = Date.now();
+  paused.thaw();
+  await until('hymn-1 to be loaded', () => holders('hymn-1').length === 1);
+  for (const engine of engines())
+    for (const order of engine.orders)
+      if (order.at > wokenAt) t.true(order.fence >= revision);
+  t.true(holders('hymn-2').length >= 1);
+});
--- a/apps/standins/src/deployment.ts
+++ b/apps/standins/src/deployment.ts
@@ -29,9 +29,16 @@
     const engine = await startEngine(options);
     const name = `${prefix}-${index + 1}`;
     instances.set(name, engine);
-    const {coldLimit, warmLimit, versions} = engine.options;
-    const address = await addressOf(engine);
-    const spec = {failureDomain, address, versions, coldLimit, warmLimit};
+    const {coldLimit, warmLimit, slots, checksOrders} = engine.options;
+    const spec = {
+      failureDomain,
+      address: await addressOf(engine),
+      versions: slots ? [] : engine.options.versions,
+      coldLimit,
+      warmLimit,
+      checksOrders,
+      ...(slots > 0 && {slots}),
+    };
     declarations.push({kind: 'Upstream', name, spec});
   }
   return {instances, declarations};
--- a/packages/resource/src/schema.ts
+++ b/packages/resource/src/schema.ts
@@ -36,6 +36,8 @@
   firstTokenMs: z.number().positive().default(200),
   /** Expected milliseconds between tokens. */
   tokenMs: z.number().positive().default(20),
+  /** Upstreams with slots that are to hold the version at the least. */
+  minReplicas: z.number().int().nonnegative().default(0),
   /** Quality assumed per task class until ratings arrive. */
   quality: z.record(z.string(), ratio).default({}),
 });
@@ -66,6 +68,11 @@
   address: z.url(),
   /** Versions that an engine serves; empty for plain services. */
   versions: z.array(name).default([]),
+  /**
+   * Versions that the engine can hold at once, if the router is to place them;
+   * what it then serves is what it reports, not `versions`.
+   */
+  slots: z.number().int().positive().optional(),
   /** The plain service that this instance belongs to. */
   service: name.optional(),
   /** Concurrency that the upstream bears just after a start. */
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -233,3 +233,33 @@
     return;
   }
 }
+
+/** An order to an engine to change the versions that it holds. */
+export interface EngineOrder {
+  readonly order: 'load' | 'unload';
+  readonly version: string;
+  /** Engines that check orders refuse a number below the greatest seen. */
+  readonly fence: number;
+}
+
+/** Sends an order; a lost answer is learned from the next load report. */
+export async function sendOrder(
+  client: EngineClient,
+  address: string,
+  order: EngineOrder,
+  timeoutMs: number,
+): Promise<Result<void, Failure>> {
+  const answer = await exchange({
+    url: new URL('/orders', address),
+    method: 'POST',
+    body: Buffer.from(JSON.stringify(order)),
+    agent: client.agent,
+    idleMs: timeoutMs,
+    signal: AbortSignal.timeout(timeoutMs),
+    headers: {'content-type': 'application/json', 'x-caller': client.node},
+  });
+  if (answer.isErr()) return err(answer.error);
+  answer.value.resume();
+  if (answer.value.statusCode === 200) return ok(undefined);
+  return err(await refusalOf(answer.value));
+}
