Say not-run and bill truthfully where a request ran in part

Cause, found by reading: (1) a cascade whose first version had run and whose second was refused before any byte left told the caller 'not run'; (2) a caller that left in mid-answer paid nothing for what was generated; (3) the VM list's leaving VMs were read for router nodes only, so an upstream that the platform takes away got work until its connection ended; (4) each counter increment copied all counters, and reading a total grew with the number of nodes. Change: the second refusal carries the first version's run; a caller that left is billed for the tokens it was sent; the VM list names what runs on a VM, and an upstream's declaration names its VM; counters keep totals and share only changes. Versions that nothing serves now are no candidates of a path.

--- a/apps/router/src/acquire.ts
+++ b/apps/router/src/acquire.ts
@@ -9,8 +9,8 @@
   type PoolPace,
 } from '@parsleyarch/policy/admission';
 import {
+  canServe,
   chooseUpstream,
-  fits,
   type BalanceChoice,
   type Need,
 } from '@parsleyarch/policy/balance';
@@ -80,7 +80,7 @@
   const choice = chooseUpstream(views, wish.need, node.random);
   if (!choice) return ok(undefined);
   const candidates = views
-    .filter(view => fits(view, wish.need))
+    .filter(view => canServe(view, wish.need))
     .map(view => view.name);
   return ok(take(node, wish, choice, candidates));
 }
@@ -88,7 +88,7 @@
 function paceOf(node: RouterNode, wish: Wish): PoolPace | undefined {
   const {need} = wish;
   const fitting = viewUpstreams(node).filter(
-    view => fits(view, need) && !need.avoid.has(view.name),
+    view => canServe(view, need) && !need.avoid.has(view.name),
   );
   if (fitting.length === 0) return undefined;
   const nodes = liveNames(node).length;
--- a/apps/router/src/chat.ts
+++ b/apps/router/src/chat.ts
@@ -1,5 +1,6 @@
 /** `POST /v1/chat/completions`: choice of a path, generation, bill, answer. */
-import {failure, raise, type Failure} from '@parsleyarch/errors/failure';
+import {failure, raise, Run, type Failure} from '@parsleyarch/errors/failure';
+import {canServe} from '@parsleyarch/policy/balance';
 import {
   choosePath,
   type CascadeOption,
@@ -18,12 +19,13 @@
 import {z} from 'zod';
 import {openAnswer, type Answering} from './answer.js';
 import {recordBill} from './bills.js';
-import {customerNow, timeLeft, type Context} from './context.js';
+import {customerNow, timeLeft, type Context, type Spent} from './context.js';
 import {decide} from './decisions.js';
 import {runGeneration, workFingerprint, type Generated} from './generation.js';
 import {askRating, countRating, ratingsOf, sampleRating} from './learning.js';
 import type {RouterNode} from './node.js';
 import {mintToken, resolvePin} from './sessions.js';
+import {viewUpstreams} from './upstreams.js';
 
 /** Model name with which a caller leaves the choice to the router. */
 const AUTO_MODEL = 'auto';
@@ -106,7 +108,13 @@
     const candidate = await candidateFor(node, context, customer, name);
     if (candidate) candidates.push(candidate);
   }
-  return candidates;
+  const served = candidates.filter(({name}) => isServed(node, name));
+  return served.length > 0 ? served : candidates;
+}
+
+/** Whether some upstream could take work on a version now. */
+function isServed(node: RouterNode, version: string): boolean {
+  return viewUpstreams(node).some(view => canServe(view, {version}));
 }
 
 function optionOf(
@@ -185,8 +193,15 @@
     priority: Math.round(customerNow(node, context)?.weight ?? 1),
   };
   const jobId = `${context.requestId}/${version}`;
-  const generated = await runGeneration(node, context, work, jobId, token =>
-    sink(token.text),
+  const generated = await runGeneration(
+    node,
+    context,
+    work,
+    jobId,
+    async token => {
+      context.spent = {version, tokens: token.index + 1};
+      await sink(token.text);
+    },
   );
   return generated.map(value => ({version, generated: value}));
 }
@@ -229,26 +244,33 @@
       return first;
     }
   }
-  return runVersion(node, context, request, second, text =>
+  const last = await runVersion(node, context, request, second, text =>
     answering.write(second, text),
   );
+  const ran = first.isOk() ? Run.ran : first.error.run;
+  return last.mapErr(problem => withEarlierRun(problem, ran));
+}
+
+/** A refusal by the second version is no "not run" once the first has run. */
+function withEarlierRun(problem: Failure, earlier: Run): Failure {
+  if (problem.run !== Run.notRun) return problem;
+  return {...problem, run: earlier};
 }
 
 async function billFor(
   node: RouterNode,
   context: Context,
   request: ChatRequest,
-  produced: Produced,
+  {version, tokens}: Spent,
 ): Promise<void> {
-  const spec = find(node.configuration, 'Version', produced.version)?.spec;
-  const {tokens} = produced.generated;
+  const spec = find(node.configuration, 'Version', version)?.spec;
   const work = workFingerprint(promptOf(request), request.max_tokens);
   const key = context.idempotencyKey;
   await recordBill(node, {
     customer: context.customer,
     requestId: key ? `${key}/${work}` : context.requestId,
     model: spec?.model ?? request.model,
-    version: produced.version,
+    version,
     tokens,
     cost: tokens * (spec?.tokenCost ?? 0),
   });
@@ -309,11 +331,15 @@
         })
       : produced.error;
     node.metrics.requests.inc({outcome: problem.kind, model: request.model});
+    // A caller that left pays for what was generated until then.
+    const left = response.destroyed && !late;
+    if (left && context.spent)
+      await billFor(node, context, request, context.spent);
     answering.fail(problem);
     return;
   }
   const {version, generated} = produced.value;
-  await billFor(node, context, request, produced.value);
+  await billFor(node, context, request, {version, tokens: generated.tokens});
   node.metrics.requests.inc({outcome: 'ok', model: request.model});
   node.metrics.tokens.inc({version}, generated.tokens);
   await answering.finish(version, generated);
--- a/apps/router/src/context.ts
+++ b/apps/router/src/context.ts
@@ -37,6 +37,12 @@
     .optional(),
 });
 
+/** What was generated for a request so far. */
+export interface Spent {
+  readonly version: string;
+  readonly tokens: number;
+}
+
 /** One request of a caller. */
 export interface Context {
   readonly requestId: string;
@@ -50,6 +56,7 @@
   readonly idempotencyKey?: string;
   /** Aborted when the caller goes away or the deadline passes. */
   readonly abort: AbortController;
+  spent?: Spent;
 }
 
 /** Whose key this is. */
--- a/apps/router/src/crashes.ts
+++ b/apps/router/src/crashes.ts
@@ -95,7 +95,7 @@
     node.poison = recordSurvival(node.poison, fingerprint);
   },
   counters: (node, {share}) => {
-    node.evidence = mergeShare(node.evidence, share);
+    mergeShare(node.evidence, share);
   },
 };
 
--- a/apps/router/src/credits.ts
+++ b/apps/router/src/credits.ts
@@ -1,7 +1,7 @@
 /** Credits: what this node asks of stewards, and how it uses what it gets. */
 import {callPeer} from '@parsleyarch/peer/client';
 import type {CreditAnswer, CreditAsk} from '@parsleyarch/peer/messages';
-import {fits} from '@parsleyarch/policy/balance';
+import {canServe} from '@parsleyarch/policy/balance';
 import {
   peerAddress,
   queueOf,
@@ -22,14 +22,7 @@
   const pools = new Set([...node.waiting.values()].map(({pool}) => pool));
   for (const pool of pools) {
     const need = poolNeed(pool);
-    const fitting = views.filter(view =>
-      fits(view, {
-        ...need,
-        failureDomain: '',
-        avoid: new Set(),
-        suspect: false,
-      }),
-    );
+    const fitting = views.filter(view => canServe(view, need));
     const {length} = queueOf(node, pool).waiters;
     for (const view of fitting) {
       const share = Math.ceil(length / fitting.length);
--- a/apps/router/src/gossip.ts
+++ b/apps/router/src/gossip.ts
@@ -6,7 +6,6 @@
   digest,
   hear,
   type Heartbeat,
-  type ListedVm,
 } from '@parsleyarch/protocol/membership';
 import {exchange, readBody} from '@parsleyarch/upstream/exchange';
 import * as http from 'node:http';
@@ -28,10 +27,14 @@
       address: z.string(),
       failureDomain: z.string(),
       state: z.enum(['live', 'leaving']),
+      /** What runs there: a router node, or an upstream. */
+      role: z.enum(['entry', 'upstream']).default('entry'),
     }),
   ),
 });
 
+type PlatformVm = z.infer<typeof VmList>['vms'][number];
+
 /** This node's own heartbeat. */
 export function ownBeat(node: RouterNode): Heartbeat {
   node.beatSequence += 1;
@@ -94,7 +97,7 @@
 
 async function readVmList(
   node: RouterNode,
-): Promise<Result<ListedVm[], Failure>> {
+): Promise<Result<PlatformVm[], Failure>> {
   const answer = await exchange({
     url: new URL('/vms', node.settings.vmList.address),
     method: 'GET',
@@ -119,7 +122,12 @@
     node.log.warn({error: vms.error.message}, 'VM list is away');
     return;
   }
-  node.membership = applyVmList(node.membership, vms.value);
+  const entries = vms.value.filter(({role}) => role === 'entry');
+  node.membership = applyVmList(node.membership, entries);
+  const leaving = vms.value.filter(
+    ({role, state}) => role === 'upstream' && state === 'leaving',
+  );
+  node.leavingVms = new Set(leaving.map(vm => vm.node));
   const addresses = [...node.membership.listed.values()].map(vm => vm.address);
   keepAddresses(node.peers, new Set(addresses));
 }
--- a/apps/router/src/learning.ts
+++ b/apps/router/src/learning.ts
@@ -14,9 +14,11 @@
 } from '@parsleyarch/policy/rollout';
 import {
   addCount,
+  changesSince,
   dropOldWindows,
   totalOf,
   WINDOW_MS,
+  type ShareOwner,
 } from '@parsleyarch/protocol/evidence';
 import {find, list} from '@parsleyarch/resource/configuration';
 import {exchange, readBody} from '@parsleyarch/upstream/exchange';
@@ -32,6 +34,8 @@
 const BAD_RATING = 0.5;
 /** Factor over the declared first-token time that counts as bad. */
 const LATE_FACTOR = 4;
+/** Rounds of sharing after which all counters are told again. */
+const FULL_ROUNDS = 30;
 const RATER_IDLE_MS = 5_000;
 const MAX_RATING_BYTES = 4_096;
 
@@ -43,13 +47,13 @@
   readonly firstTokenMs: number;
 }
 
+function ownShare(node: RouterNode): ShareOwner {
+  const window = Math.floor(Date.now() / WINDOW_MS);
+  return {node: node.name, incarnation: node.incarnation, window};
+}
+
 function count(node: RouterNode, name: string): void {
-  const owner = {
-    node: node.name,
-    incarnation: node.incarnation,
-    window: Math.floor(Date.now() / WINDOW_MS),
-  };
-  node.evidence = addCount(node.evidence, owner, name);
+  addCount(node.evidence, ownShare(node), name);
 }
 
 function countSignal(
@@ -100,19 +104,45 @@
       reason: `${signal} is worse on ${spec.to}`,
       rollout: name,
     });
-    void shareCounters(node);
+    // Peers brake by the same counts; this node's newest are still untold.
+    void shareNews(node, {
+      type: 'counters',
+      share: changesSince(node.evidence, ownShare(node), new Map()),
+    });
   }
 }
 
-/** Tells all peers this node's counters. */
-export async function shareCounters(node: RouterNode): Promise<void> {
-  const window = Math.floor(Date.now() / WINDOW_MS);
-  node.evidence = dropOldWindows(node.evidence, window);
-  for (const share of node.evidence.values()) {
-    if (share.node !== node.name) continue;
-    if (share.incarnation !== node.incarnation) continue;
-    await shareNews(node, {type: 'counters', share});
-  }
+/** What this node has told its peers of its own counters. */
+export interface Told {
+  round: number;
+  window: number;
+  counters: Map<string, number>;
+}
+
+/** A node that has told nothing. */
+export function createTold(): Told {
+  return {round: 0, window: 0, counters: new Map()};
+}
+
+/**
+ * Tells all peers the counters that have changed; all of them once in a while,
+ * for peers that missed some or are new.
+ */
+export async function shareCounters(
+  node: RouterNode,
+  told: Told,
+): Promise<void> {
+  const owner = ownShare(node);
+  dropOldWindows(node.evidence, owner.window);
+  const isFull = told.round % FULL_ROUNDS === 0;
+  if (isFull || told.window !== owner.window) told.counters = new Map();
+  told.round += 1;
+  told.window = owner.window;
+  const share = changesSince(node.evidence, owner, told.counters);
+  const changed = Object.entries(share.counters);
+  if (changed.length === 0) return;
+  for (const [name, value] of changed) told.counters.set(name, value);
+  await shareNews(node, {type: 'counters', share});
 }
 
 /** Ratings of a version in a task class, over all nodes. */
@@ -121,7 +151,7 @@
   taskClass: string,
   version: string,
 ): RatingCounts {
-  if (node.evidence.size === 0) return NO_RATINGS;
+  if (node.evidence.totals.size === 0) return NO_RATINGS;
   return Array.from({length: RATING_BINS}, (_, bin) =>
     totalOf(node.evidence, `${version}/${taskClass}/rating-${bin}`),
   );
--- a/apps/router/src/node.ts
+++ b/apps/router/src/node.ts
@@ -16,7 +16,7 @@
 import {EMPTY_BOOK, type PoisonBook} from '@parsleyarch/policy/poison';
 import type {Bill} from '@parsleyarch/protocol/bill';
 import type {CreditGrant, Stewardship} from '@parsleyarch/protocol/credit';
-import {NO_EVIDENCE, type Evidence} from '@parsleyarch/protocol/evidence';
+import {createEvidence, type Evidence} from '@parsleyarch/protocol/evidence';
 import {
   judgeFreshness,
   type Freshness,
@@ -128,6 +128,8 @@
   entries: Entry[];
   tail: Tail;
   membership: Membership;
+  /** Upstream VMs that the platform lists as leaving. */
+  leavingVms: ReadonlySet<string>;
   beatSequence: number;
   stopping: boolean;
   active: number;
@@ -142,7 +144,7 @@
   readonly bills: BillState;
   readonly pins: Map<string, string>;
   poison: PoisonBook;
-  evidence: Evidence;
+  readonly evidence: Evidence;
   /** New versions that this node gives to no further sessions. */
   braked: Set<string>;
   readonly decisions: Map<string, DecisionLine[]>;
@@ -195,6 +197,7 @@
     entries: [],
     tail: {confirmedAt: -Infinity, storeReachable: false},
     membership: createMembership(settings.node),
+    leavingVms: new Set(),
     beatSequence: 0,
     stopping: false,
     active: 0,
@@ -208,7 +211,7 @@
     bills: {sequence: 1, open: [], sealed: new Map(), copies: new Map()},
     pins: new Map(),
     poison: EMPTY_BOOK,
-    evidence: NO_EVIDENCE,
+    evidence: createEvidence(),
     braked: new Set(),
     decisions: new Map(),
     onConfiguration: [],
--- a/apps/router/src/placement.ts
+++ b/apps/router/src/placement.ts
@@ -65,7 +65,10 @@
     views.push({
       name,
       failureDomain: spec.failureDomain,
-      inService: spec.state === 'in' && domain?.spec.state === 'in',
+      inService:
+        spec.state === 'in' &&
+        domain?.spec.state === 'in' &&
+        !(spec.vm && node.leavingVms.has(spec.vm)),
       slots: spec.slots,
       held: report.versions.filter(version => version !== unloading),
       pending: pending?.version,
--- a/apps/router/src/serve.ts
+++ b/apps/router/src/serve.ts
@@ -12,7 +12,7 @@
 import {controlStep, type StepStarts} from './control.js';
 import {creditStep} from './credits.js';
 import {beatStep, meetPeers, vmListStep} from './gossip.js';
-import {brakeHarmful, shareCounters} from './learning.js';
+import {brakeHarmful, createTold, shareCounters} from './learning.js';
 import {createNode, type RouterNode} from './node.js';
 import {listenForOperators} from './operators.js';
 import {createPlacement, placementStep} from './placement.js';
@@ -127,6 +127,7 @@
 function startProcesses(node: RouterNode): void {
   const starts: StepStarts = new Map();
   const placement = createPlacement();
+  const told = createTold();
   run(node, 'tail', PAUSE_MS.tail, () => tailStep(node));
   run(node, 'beat', PAUSE_MS.beat, () => beatStep(node));
   run(node, 'vm-list', PAUSE_MS.vmList, () => vmListStep(node));
@@ -137,7 +138,7 @@
   run(node, 'placement', PAUSE_MS.placement, () =>
     placementStep(node, placement),
   );
-  run(node, 'counters', PAUSE_MS.counters, () => shareCounters(node));
+  run(node, 'counters', PAUSE_MS.counters, () => shareCounters(node, told));
   run(node, 'pins', PAUSE_MS.pins, () => spreadPins(node));
   runCredits(node);
 }
--- a/apps/router/src/upstreams.ts
+++ b/apps/router/src/upstreams.ts
@@ -143,6 +143,7 @@
       name,
       spec: {...spec, versions: held},
       domainOut: domain?.spec.state === 'out',
+      vmLeaving: spec.vm !== undefined && node.leavingVms.has(spec.vm),
       reachable: report !== undefined,
       credits: goodCredits(node, upstream),
       inFlight: running.size,
--- a/apps/router/test/bills.test.ts
+++ b/apps/router/test/bills.test.ts
@@ -1,6 +1,7 @@
 import {readBills} from '@parsleyarch/standins/bills';
-import {chat} from '@parsleyarch/standins/client';
+import {chat, send} from '@parsleyarch/standins/client';
 import {until} from '@parsleyarch/standins/cluster';
+import {wholeAnswer} from '@parsleyarch/standins/engine';
 import {
   closeScenario,
   CUSTOMER_KEY,
@@ -91,6 +92,42 @@
   },
 );
 
+test.serial(
+  'a caller that leaves pays once for what was generated',
+  async t => {
+    const [first] = scenario.cluster.nodes;
+    for (const engine of scenario.engines.instances.values())
+      engine.paceMs = 60;
+    const leave = new AbortController();
+    const left = send(
+      first.callers,
+      {
+        path: '/v1/chat/completions',
+        key: CUSTOMER_KEY,
+        headers: {'idempotency-key': 'leaver'},
+        body: {
+          model: 'hymn',
+          messages: [{role: 'user', content: 'leaves early'}],
+          stream: true,
+        },
+      },
+      leave.signal,
+    );
+    setTimeout(() => leave.abort(), 300);
+    t.truthy((await left).broken);
+    for (const engine of scenario.engines.instances.values())
+      engine.paceMs = undefined;
+    const bills = () =>
+      readBills(scenario.cluster.store).filter(bill =>
+        bill.requestId.startsWith('leaver/'),
+      );
+    await until('the bill', () => bills().length === 1);
+    const whole = wholeAnswer('hymn-1', 'user: leaves early', 256);
+    t.true(bills()[0].tokens > 0);
+    t.true(bills()[0].tokens < whole.trim().split(' ').length);
+  },
+);
+
 test.serial('bills outlast an outage of the store', async t => {
   const {store} = scenario.cluster;
   takeDown(store);
--- a/apps/router/test/cascade.test.ts
+++ b/apps/router/test/cascade.test.ts
@@ -73,3 +73,27 @@
     });
   },
 );
+
+test.serial(
+  'once the first version has run, no refusal says "not run"',
+  async t => {
+    scenario.cluster.rater.quality = () => 0.2;
+    for (const engine of scenario.engines.instances.values()) {
+      engine.held.delete('hymn-1');
+      engine.held.delete('hymn-2');
+    }
+    const begun = () =>
+      [...scenario.engines.instances.values()].reduce(
+        (sum, engine) => sum + (engine.begun.get('announce-1') ?? 0),
+        0,
+      );
+    let index = 2_000;
+    await until('a cascade whose second version refuses', async () => {
+      const before = begun();
+      const answer = await ask('0.75', 'status', (index += 1));
+      if (!answer.error || begun() === before) return false;
+      t.not(answer.error.run, 'not-run');
+      return true;
+    });
+  },
+);
--- a/apps/router/test/cold.test.ts
+++ b/apps/router/test/cold.test.ts
@@ -1,6 +1,10 @@
 import {chat} from '@parsleyarch/standins/client';
 import {operate, until} from '@parsleyarch/standins/cluster';
-import {crash, type EngineStandIn} from '@parsleyarch/standins/engine';
+import {
+  crash,
+  turnCold,
+  type EngineStandIn,
+} from '@parsleyarch/standins/engine';
 import {
   closeScenario,
   CUSTOMER_KEY,
@@ -88,6 +92,17 @@
   },
 );
 
+test.serial('a silent cold turn is noticed from the load report', async t => {
+  const [engine] = engines();
+  turnCold(engine);
+  // The report that shows it comes a period later.
+  const reportMs = engine.options.reportMs;
+  await new Promise(resolve => setTimeout(resolve, 2 * reportMs));
+  noteOverload(engine);
+  t.true((await flood(3)) > 0);
+  t.true(noteOverload(engine) <= 0);
+});
+
 test.serial(
   'a killed steward is replaced, and the limit still holds',
   async t => {
--- a/apps/router/test/leaving.test.ts
+++ b/apps/router/test/leaving.test.ts
@@ -116,6 +116,19 @@
   await declare(scenario.cluster.nodes[0], [declared]);
 });
 
+test.serial('an upstream whose VM is leaving gets no new work', async t => {
+  const {vms} = scenario.cluster.vmList;
+  const load = startLoad();
+  const vm = {node: 'vm-of-engine-2', address: '', failureDomain: 'dha'};
+  vms.set(vm.node, {...vm, state: 'leaving', role: 'upstream'});
+  await wait(FEW_SECONDS_MS);
+  const since = Date.now();
+  await wait(400);
+  t.true(engine(1).lastBegunAt < since);
+  t.true(noneCut(await load.end()));
+  vms.delete(vm.node);
+});
+
 test.serial(
   'a version withdrawn under load gets no new work, store gone after or not',
   async t => {
--- a/apps/standins/src/deployment.ts
+++ b/apps/standins/src/deployment.ts
@@ -33,6 +33,7 @@
     const spec = {
       failureDomain,
       address: await addressOf(engine),
+      vm: `vm-of-${name}`,
       versions: slots ? [] : engine.options.versions,
       coldLimit,
       warmLimit,
--- a/apps/standins/src/engine.ts
+++ b/apps/standins/src/engine.ts
@@ -92,6 +92,8 @@
   fault: (requestId: string, version: string) => StreamFault | undefined;
   /** Chance that a job on a version breaks off. */
   errorRate: (version: string) => number;
+  /** Time between tokens, when it is to differ from the options. */
+  paceMs?: number;
   incarnation: number;
   completed: number;
   crashes: number;
@@ -198,7 +200,8 @@
     job.tokens += 1;
     for (const wake of job.wake) wake();
     job.wake.clear();
-    if (job.tokens < job.total) await pace(engine.options.tokenMs);
+    if (job.tokens < job.total)
+      await pace(engine.paceMs ?? engine.options.tokenMs);
   }
   if (job.cancelled) return;
   job.done = true;
--- a/apps/standins/src/measures/balance.ts
+++ b/apps/standins/src/measures/balance.ts
@@ -64,6 +64,7 @@
       checksOrders: true,
     },
     domainOut: false,
+    vmLeaving: false,
     reachable: true,
     credits: Math.max(0, WARM - others),
     inFlight: sim.own[node],
--- a/apps/standins/src/measures/domain.ts
+++ b/apps/standins/src/measures/domain.ts
@@ -2,7 +2,7 @@
 import {declare, inForce} from '../cluster.js';
 import {closeScenario, startScenario} from '../scenario.js';
 import {seeded, type Measure} from './figures.js';
-import {runLoad, type LoadResult} from './load.js';
+import {countsOf, runLoad} from './load.js';
 
 const PLACES = ['bayanzurkh', 'sukhbaatar', 'khan-uul'];
 const RATE = 60;
@@ -12,22 +12,6 @@
 /** Bound after which a domain that is out may get nothing new. */
 const OUT_BOUND_MS = 2_000;
 
-const short = ({
-  whole,
-  refused,
-  failed,
-  cut,
-  wrong,
-  firstToken,
-}: LoadResult) => ({
-  whole,
-  refused,
-  failed,
-  cut,
-  wrong,
-  firstToken,
-});
-
 /** Three phases: all in, one out, back in. */
 export const measureDomain: Measure = async (seed, say) => {
   const random = seeded(seed);
@@ -89,9 +73,9 @@
       lastWorkInDomainMs: lastWorkMs,
       servesAgain: begun,
       crashes,
-      before: short(before),
-      during: short(during),
-      after: short(after),
+      before: countsOf(before),
+      during: countsOf(during),
+      after: countsOf(after),
     };
   } finally {
     await closeScenario(scenario);
--- a/apps/standins/src/measures/faults.ts
+++ b/apps/standins/src/measures/faults.ts
@@ -11,7 +11,7 @@
 } from '../scenario.js';
 import {bringBack, takeDown} from '../store.js';
 import {seeded, type Figures, type Measure} from './figures.js';
-import {runLoad, type LoadResult} from './load.js';
+import {countsOf, runLoad, type LoadResult} from './load.js';
 
 const PLACES = ['gulberg', 'dha', 'johar'];
 const RATE = 40;
@@ -28,22 +28,6 @@
   });
 }
 
-const counts = ({
-  whole,
-  refused,
-  failed,
-  cut,
-  wrong,
-  firstToken,
-}: LoadResult) => ({
-  whole,
-  refused,
-  failed,
-  cut,
-  wrong,
-  firstToken,
-});
-
 /** Whole answers without a bill in the store. */
 async function unbilled(scenario: Scenario, load: LoadResult): Promise<number> {
   const ids = load.sent
@@ -94,7 +78,7 @@
       upstreamsLost: lost,
       innocentsAccused: accused,
       verdicts,
-      innocents: counts(result),
+      innocents: countsOf(result),
     };
   } finally {
     await closeScenario(scenario);
@@ -135,7 +119,7 @@
       violations: result.cut + result.wrong + missing,
       faults,
       unbilled: missing,
-      ...counts(result),
+      ...countsOf(result),
     };
   } finally {
     await closeScenario(scenario);
@@ -173,9 +157,9 @@
     return {
       violations: broken + missing,
       unbilled: missing,
-      before: counts(before),
-      during: counts(during),
-      after: counts(after),
+      before: countsOf(before),
+      during: countsOf(during),
+      after: countsOf(after),
     } satisfies Figures;
   } finally {
     await closeScenario(scenario);
@@ -225,7 +209,7 @@
       // is a breach.
       violations: result.wrong + missing,
       unbilled: missing,
-      ...counts(result),
+      ...countsOf(result),
     };
   } finally {
     await closeScenario(scenario);
--- a/apps/standins/src/measures/load.ts
+++ b/apps/standins/src/measures/load.ts
@@ -85,3 +85,8 @@
   }
   return tally(await Promise.all(sends));
 }
+
+/** The result without the single requests. */
+export function countsOf({sent: _sent, ...counts}: LoadResult) {
+  return counts;
+}
--- a/apps/standins/src/platform.ts
+++ b/apps/standins/src/platform.ts
@@ -8,6 +8,8 @@
   readonly address: string;
   readonly failureDomain: string;
   state: 'live' | 'leaving';
+  /** What runs there; an entry VM unless said otherwise. */
+  readonly role?: 'entry' | 'upstream';
 }
 
 /** A running VM list. */
--- a/packages/policy/src/balance.ts
+++ b/packages/policy/src/balance.ts
@@ -7,6 +7,8 @@
   readonly spec: UpstreamSpec;
   /** Whether operators have taken its failure domain out. */
   readonly domainOut: boolean;
+  /** Whether the platform lists its VM as leaving. */
+  readonly vmLeaving: boolean;
   /** Whether its load reports come in. */
   readonly reachable: boolean;
   /** Credits held and good now. */
@@ -36,10 +38,13 @@
   readonly suspect: boolean;
 }
 
-/** Whether the upstream could serve the request, credits aside. */
-export function fits(view: UpstreamView, need: Need): boolean {
+/** Whether the upstream could serve the pool, credits aside. */
+export function canServe(
+  view: UpstreamView,
+  need: Pick<Need, 'version' | 'service'>,
+): boolean {
   if (view.domainOut || view.spec.state !== 'in') return false;
-  if (!view.reachable) return false;
+  if (!view.reachable || view.vmLeaving) return false;
   if (need.version !== undefined)
     return view.spec.versions.includes(need.version);
   return need.service !== undefined && view.spec.service === need.service;
@@ -86,11 +91,11 @@
   need: Need,
   random: () => number,
 ): BalanceChoice | undefined {
-  const free = views.filter(view => fits(view, need) && isFree(view, need));
+  const free = views.filter(view => canServe(view, need) && isFree(view, need));
   if (free.length === 0) return undefined;
   if (need.affinity) {
     const {affinity} = need;
-    const fitting = views.filter(view => fits(view, need));
+    const fitting = views.filter(view => canServe(view, need));
     const home = fitting.reduce((best, view) =>
       affinity(view.name) > affinity(best.name) ? view : best,
     );
--- a/packages/protocol/test/evidence.test.ts
+++ b/packages/protocol/test/evidence.test.ts
@@ -2,8 +2,10 @@
 import fc from 'fast-check';
 import {
   addCount,
+  changesSince,
+  createEvidence,
+  dropOldWindows,
   mergeShare,
-  NO_EVIDENCE,
   totalOf,
   type Share,
 } from '../src/evidence.js';
@@ -18,27 +20,50 @@
 
 const SETTINGS = {seed: 20_261_203, numRuns: 500};
 
+function merged(shares: readonly Share[]) {
+  const evidence = createEvidence();
+  for (const each of shares) mergeShare(evidence, each);
+  return evidence;
+}
+
 test('counters merge alike in any order, repeats included', t => {
   fc.assert(
     fc.property(fc.array(share), fc.nat(), (shares, rotate) => {
-      const forward = shares.reduce(mergeShare, NO_EVIDENCE);
       const at = shares.length ? rotate % shares.length : 0;
       const turned = [...shares.slice(at), ...shares.slice(0, at)].reverse();
-      const twice = [...turned, ...shares].reduce(mergeShare, NO_EVIDENCE);
-      return totalOf(forward, 'x') === totalOf(twice, 'x');
+      const once = totalOf(merged(shares), 'x');
+      return once === totalOf(merged([...turned, ...shares]), 'x');
     }),
     SETTINGS,
   );
   t.pass();
 });
 
+const OWNER = {node: 'vm-1', incarnation: 1, window: 1};
+
 test("a node's counts survive at its peers when it is lost", t => {
-  const owner = {node: 'vm-1', incarnation: 1, window: 1};
-  const own = addCount(addCount(NO_EVIDENCE, owner, 'x'), owner, 'x');
-  const [told] = own.values();
-  const peer = mergeShare(NO_EVIDENCE, told as Share);
-  const restarted = {...owner, incarnation: 2};
-  t.is(totalOf(addCount(peer, restarted, 'x'), 'x'), 3);
+  const own = createEvidence();
+  addCount(own, OWNER, 'x');
+  addCount(own, OWNER, 'x');
+  const peer = merged([changesSince(own, OWNER, new Map())]);
+  addCount(peer, {...OWNER, incarnation: 2}, 'x');
+  t.is(totalOf(peer, 'x'), 3);
+});
+
+test('only what has changed is told again', t => {
+  const own = createEvidence();
+  addCount(own, OWNER, 'x');
+  addCount(own, OWNER, 'y');
+  const told = new Map([['x', 1]]);
+  t.deepEqual(changesSince(own, OWNER, told).counters, {y: 1});
+});
+
+test('old windows are taken out of the totals', t => {
+  const own = createEvidence();
+  addCount(own, OWNER, 'x');
+  addCount(own, {...OWNER, window: 3}, 'x');
+  dropOldWindows(own, 3);
+  t.is(totalOf(own, 'x'), 1);
 });
 
 const bill = fc.record({
--- a/packages/resource/src/schema.ts
+++ b/packages/resource/src/schema.ts
@@ -79,6 +79,8 @@
   coldLimit: z.number().int().positive().default(1),
   /** Concurrency that the upstream bears when warm. */
   warmLimit: z.number().int().positive().default(8),
+  /** Its VM as the platform lists it, to learn when that is leaving. */
+  vm: z.string().optional(),
   state: z.enum(['in', 'draining']).default('in'),
   /** Whether the engine refuses orders with an old fencing number. */
   checksOrders: z.boolean().default(true),
