--- a/apps/standins/src/measures/load.ts
+++ b/apps/standins/src/measures/load.ts
@@ -87,6 +87,7 @@
 }
 
 /** The result without the single requests. */
-export function countsOf({sent: _sent, ...counts}: LoadResult) {
-  return counts;
+export function countsOf(result: LoadResult): Omit<LoadResult, 'sent'> {
+  const {whole, refused, failed, cut, wrong, firstToken} = result;
+  return {whole, refused, failed, cut, wrong, firstToken};
 }
