Keep sessions on their own upstreams while these have credits

Also: the measure's model of waiting put a request on the upstream with the earliest end rather than the earliest start; it now matches the node's own queue. Round robin is as before.

--- a/apps/standins/src/measures/balance.ts
+++ b/apps/standins/src/measures/balance.ts
@@ -50,6 +50,14 @@
   return running;
 }
 
+/** A full upstream starts a request when the one that frees its place ends. */
+function startAt(sim: Sim, now: number): number {
+  const over = sim.ends.length - WARM;
+  if (over < 0) return now;
+  const sorted = [...sim.ends].sort((a, b) => a - b);
+  return Math.max(now, sorted[over]);
+}
+
 function view(sim: Sim, node: number, now: number): UpstreamView {
   const others = sim.ends.length - sim.own[node];
   return {
@@ -92,10 +100,8 @@
       random,
     );
     if (choice) return sims.find(sim => sim.name === choice.upstream)!;
-    // All are full: the request waits for whichever is free first.
-    return sims.reduce((a, b) =>
-      Math.min(...b.ends) < Math.min(...a.ends) ? b : a,
-    );
+    // All are full: nodes keep such requests and give them what is free first.
+    return sims.reduce((a, b) => (startAt(b, now) < startAt(a, now) ? b : a));
   };
 }
 
@@ -142,14 +148,11 @@
     sim.cache.push(session);
     if (sim.cache.length > CACHE) sim.cache.shift();
     if (known >= 0) hits += 1;
-    // A full upstream starts the request when the one that frees its place ends.
-    const sorted = [...sim.ends].sort((a, b) => a - b);
-    const over = sorted.length - WARM;
-    const startAt = over >= 0 ? Math.max(now, sorted[over]) : now;
+    const begins = startAt(sim, now);
     const prefill = known >= 0 ? HIT_PREFILL_MS : PREFILL_MS;
     const far = sim.domain === DOMAINS[node] ? 0 : 2 * DISTANCE_MS;
-    first.recordValue(Math.round(startAt - now + prefill + far));
-    const at = startAt + service;
+    first.recordValue(Math.round(begins - now + prefill + far));
+    const at = begins + service;
     sim.ends.push(at);
     sim.own[node] += 1;
     sim.past.push({at: now, running: sim.ends.length});
--- a/packages/policy/src/balance.ts
+++ b/packages/policy/src/balance.ts
@@ -56,15 +56,33 @@
   return !need.suspect || view.suspects === 0;
 }
 
-/** Utilisation above which a session leaves the upstream with its prefixes. */
-const AFFINITY_BOUND = 0.85;
-
 function utilisation(view: UpstreamView): number {
   const own = view.inFlight / Math.max(1, view.credits);
   const all = view.reportedRunning / Math.max(1, view.limit);
   return Math.max(own, all);
 }
 
+/** Upstreams on which a session's prefixes are kept, the first one preferred. */
+const HOMES = 2;
+
+/** The first of a session's own upstreams that is free. */
+function findHome(
+  views: readonly UpstreamView[],
+  free: readonly UpstreamView[],
+  need: Need,
+): UpstreamView | undefined {
+  const {affinity} = need;
+  if (!affinity) return undefined;
+  const homes = views
+    .filter(view => canServe(view, need))
+    .sort((a, b) => affinity(b.name) - affinity(a.name))
+    .slice(0, HOMES);
+  for (const home of homes) {
+    if (free.includes(home)) return home;
+  }
+  return undefined;
+}
+
 /** A choice and the rule that made it. */
 export interface BalanceChoice {
   readonly upstream: string;
@@ -83,7 +101,7 @@
 }
 
 /**
- * Chooses among the free upstreams: the session's own while it is not busy,
+ * Chooses among the free upstreams: one of the session's own first,
  * else the lighter of two in the same failure domain, else of two anywhere.
  */
 export function chooseUpstream(
@@ -93,15 +111,8 @@
 ): BalanceChoice | undefined {
   const free = views.filter(view => canServe(view, need) && isFree(view, need));
   if (free.length === 0) return undefined;
-  if (need.affinity) {
-    const {affinity} = need;
-    const fitting = views.filter(view => canServe(view, need));
-    const home = fitting.reduce((best, view) =>
-      affinity(view.name) > affinity(best.name) ? view : best,
-    );
-    if (free.includes(home) && utilisation(home) < AFFINITY_BOUND)
-      return {upstream: home.name, reason: 'affinity'};
-  }
+  const home = findHome(views, free, need);
+  if (home) return {upstream: home.name, reason: 'affinity'};
   const near = free.filter(
     view => view.spec.failureDomain === need.failureDomain,
   );
