Hand over only stewardships that are fully known

Cause, found by reading: a steward that had just taken a group, and still waited for reports, handed it over on its own stop as if it knew all grants; its successor would have granted at once over requests that nobody had counted. Change: such a stewardship is not told, so the successor waits in full; telling and taking over are pure functions in protocol/handover.ts. Ruled out: telling the set of awaited nodes as well (their reports go to the successor anyway).

--- a/apps/router/src/stewards.ts
+++ b/apps/router/src/stewards.ts
@@ -11,19 +11,15 @@
   grantCredits,
   GRANT_TTL_MS,
   setLimits,
-  type Grant,
   type Stewardship,
 } from '@parsleyarch/protocol/credit';
 import {FRESH_BOUND_MS, Freshness} from '@parsleyarch/protocol/freshness';
+import {takeStewardship, tellStewardship} from '@parsleyarch/protocol/handover';
 import type {Change} from '@parsleyarch/protocol/log';
 import {HEARD_BOUND_MS, isLive} from '@parsleyarch/protocol/membership';
 import {hashUnit, rank} from '@parsleyarch/protocol/rendezvous';
 import {find, list} from '@parsleyarch/resource/configuration';
-import type {
-  Resource,
-  StewardSpec,
-  UpstreamSpec,
-} from '@parsleyarch/resource/schema';
+import type {Resource, StewardSpec} from '@parsleyarch/resource/schema';
 import {randomUUID} from 'node:crypto';
 import {append} from './config.js';
 import {decide} from './decisions.js';
@@ -112,19 +108,11 @@
 }
 
 function handoverOf(node: RouterNode, group: string, epoch: number): Handover {
-  const now = node.clock();
   const upstreams = [];
   for (const [upstream, state] of node.stewardships) {
     if (groupOf(upstream) !== group) continue;
-    const {limit, successes, upstreamIncarnation} = state;
-    const grants = [...state.grants].map(([holder, grant]) => ({
-      node: holder,
-      incarnation: grant.incarnation,
-      sequence: grant.sequence,
-      credits: grant.credits,
-      ttlMs: Math.max(0, Math.ceil(grant.expiresAt - now)),
-    }));
-    upstreams.push({upstream, limit, successes, upstreamIncarnation, grants});
+    const told = tellStewardship(state, node.clock());
+    if (told) upstreams.push({upstream, ...told});
   }
   return {group, epoch, upstreams};
 }
@@ -179,23 +167,14 @@
 /** The stewardship that a leaving steward handed over, if it did. */
 function handedOver(
   node: RouterNode,
-  group: string,
+  {name, spec}: Resource<'Upstream'>,
   epoch: number,
-  upstream: string,
-  limits: Pick<UpstreamSpec, 'coldLimit' | 'warmLimit'>,
 ): Stewardship | undefined {
-  const known = node.handovers.get(group);
+  const known = node.handovers.get(groupOf(name));
   if (known?.handover.epoch !== epoch) return undefined;
-  const told = known.handover.upstreams.find(u => u.upstream === upstream);
+  const told = known.handover.upstreams.find(u => u.upstream === name);
   if (!told) return undefined;
-  const grants = new Map<string, Grant>();
-  for (const {node: holder, ttlMs, ...grant} of told.grants)
-    grants.set(holder, {...grant, expiresAt: known.at + ttlMs});
-  const {coldLimit, warmLimit} = limits;
-  const fresh = createStewardship(coldLimit, warmLimit, 0, []);
-  const {limit, successes, upstreamIncarnation} = told;
-  const state = {...fresh, limit, successes, upstreamIncarnation, grants};
-  return setLimits(state, coldLimit, warmLimit);
+  return takeStewardship(told, known.at, spec.coldLimit, spec.warmLimit);
 }
 
 /** Time that a new steward waits before its first grant. */
@@ -205,6 +184,21 @@
   return released ? silence : FRESH_BOUND_MS + silence;
 }
 
+/** The first state of a stewardship that this node has just been given. */
+function beginStewardship(
+  node: RouterNode,
+  upstream: Resource<'Upstream'>,
+  holder: StewardSpec,
+  released: boolean,
+): Stewardship {
+  const told = handedOver(node, upstream, holder.epoch);
+  if (told) return told;
+  const {coldLimit, warmLimit} = upstream.spec;
+  const notBefore = node.clock() + takeoverWait(holder, released);
+  const awaited = holder.epoch > 1 ? node.membership.listed.keys() : [];
+  return createStewardship(coldLimit, warmLimit, notBefore, awaited);
+}
+
 /**
  * Keeps stewardships in step with the configuration; called after each change
  * with the holders as they were before it.
@@ -213,39 +207,23 @@
   node: RouterNode,
   before: ReadonlyMap<string, Resource<'Steward'>>,
 ): void {
-  for (const {name, spec} of list(node.configuration, 'Upstream')) {
+  const kept = new Set<string>();
+  for (const upstream of list(node.configuration, 'Upstream')) {
+    const {name, spec} = upstream;
     const group = groupOf(name);
     const holder = holderOf(node, group)?.spec;
-    const mine =
-      holder?.node === node.name && holder.incarnation === node.incarnation;
-    if (!holder || !mine || holder.released) {
-      node.stewardships.delete(name);
-      continue;
-    }
+    if (!holder || holder.released || holder.node !== node.name) continue;
+    if (holder.incarnation !== node.incarnation) continue;
+    kept.add(name);
     const known = node.stewardships.get(name);
-    if (known) {
-      const limited = setLimits(known, spec.coldLimit, spec.warmLimit);
-      node.stewardships.set(name, limited);
-      continue;
-    }
-    const {coldLimit, warmLimit} = spec;
-    const {epoch} = holder;
-    const told = handedOver(node, group, epoch, name, {coldLimit, warmLimit});
-    if (told) {
-      node.stewardships.set(name, told);
-      continue;
-    }
     const released = before.get(group)?.spec.released ?? false;
-    const notBefore = node.clock() + takeoverWait(holder, released);
-    const awaited = holder.epoch > 1 ? node.membership.listed.keys() : [];
-    node.stewardships.set(
-      name,
-      createStewardship(coldLimit, warmLimit, notBefore, awaited),
-    );
+    const state = known
+      ? setLimits(known, spec.coldLimit, spec.warmLimit)
+      : beginStewardship(node, upstream, holder, released);
+    node.stewardships.set(name, state);
   }
   for (const name of node.stewardships.keys()) {
-    if (!find(node.configuration, 'Upstream', name))
-      node.stewardships.delete(name);
+    if (!kept.has(name)) node.stewardships.delete(name);
   }
 }
 
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between nodes, as peer.proto defines them. */
 import type {Bill} from '@parsleyarch/protocol/bill';
 import type {CreditGrant, CreditRequest} from '@parsleyarch/protocol/credit';
+import type {ToldStewardship} from '@parsleyarch/protocol/handover';
 import type {Heartbeat} from '@parsleyarch/protocol/membership';
 
 export interface Beats {
@@ -27,19 +28,8 @@
 export interface CreditAnswers {
   readonly answers: readonly CreditAnswer[];
 }
-export interface HeldCredits {
-  readonly node: string;
-  readonly incarnation: number;
-  readonly sequence: number;
-  readonly credits: number;
-  readonly ttlMs: number;
-}
-export interface StewardedUpstream {
+export interface StewardedUpstream extends ToldStewardship {
   readonly upstream: string;
-  readonly limit: number;
-  readonly successes: number;
-  readonly upstreamIncarnation: number;
-  readonly grants: readonly HeldCredits[];
 }
 export interface Handover {
   readonly group: string;
--- a/packages/protocol/src/credit.ts
+++ b/packages/protocol/src/credit.ts
@@ -142,7 +142,8 @@
   return active;
 }
 
-function isWaiting(state: Stewardship, now: number): boolean {
+/** Whether a steward cannot yet know all that nodes may be using. */
+export function isWaiting(state: Stewardship, now: number): boolean {
   if (now < state.notBefore) return true;
   return state.awaited.size > 0 && now < state.notBefore + MAX_REQUEST_MS;
 }
--- a/packages/protocol/test/credit.test.ts
+++ b/packages/protocol/test/credit.test.ts
@@ -8,6 +8,7 @@
   type CreditRequest,
   type Stewardship,
 } from '../src/credit.js';
+import {takeStewardship, tellStewardship} from '../src/handover.js';
 
 const COLD = 2;
 const WARM = 10;
@@ -140,3 +141,21 @@
   state = dropNodes(state, node => node === 'a');
   t.is(grantCredits(state, ask('b'), 1).grant.credits, 2);
 });
+
+test('a successor counts what the leaving steward had granted', t => {
+  let state = createStewardship(COLD, WARM, 0, []);
+  ({state} = grantCredits(state, ask('a', {want: 1, succeeded: 2}), 0));
+  const told = tellStewardship(state, 500)!;
+  const taken = takeStewardship(told, 9_000, COLD, WARM);
+  t.is(taken.limit, state.limit);
+  t.is(taken.limit, 3);
+  t.is(grantCredits(taken, ask('b', {want: 2}), 9_001).grant.credits, 2);
+  t.true(grantCredits(taken, ask('b', {want: 3}), 9_001).grant.credits < 3);
+});
+
+test('a steward that still waits for reports hands nothing over', t => {
+  const state = createStewardship(COLD, WARM, 0, ['a', 'b']);
+  t.is(tellStewardship(state, 10), undefined);
+  const early = createStewardship(COLD, WARM, 100, []);
+  t.is(tellStewardship(early, 10), undefined);
+});
