Resolve the paths of plain calls before deciding on them

Cause, found by reading: a path below a service was joined to its address with the URL constructor, so /services/board//host/ reached another host, and dot segments or encoded letters could make a call that may not be repeated match a repeatable prefix and run without a claim. Change: dot segments are resolved and the decision is made on the decoded path without doubled slashes; the host always comes from the declaration. Ruled out: refusing every encoded path (callers may send names that need it).

--- a/apps/router/src/plain.ts
+++ b/apps/router/src/plain.ts
@@ -47,20 +47,41 @@
   return undefined;
 }
 
+/** Where a call goes. */
+interface Target {
+  readonly service: string;
+  /** Path and query below the service, dot segments resolved. */
+  readonly path: string;
+  /** The path as a service may read it: decoded, without doubled slashes. */
+  readonly plainPath: string;
+}
+
+function parseTarget(url: string): Result<Target, Failure> {
+  const rest = url.slice(SERVICE_PREFIX.length);
+  const [, service, below] = /^([^/?]*)(.*)$/s.exec(rest) ?? [];
+  const path = below.startsWith('/') ? below : `/${below}`;
+  try {
+    const {pathname, search} = new URL(`http://service${path}`);
+    const plainPath = decodeURIComponent(pathname).replace(/\/{2,}/g, '/');
+    return ok({service, path: pathname + search, plainPath});
+  } catch {
+    return raise('invalid-request', 'the path cannot be read');
+  }
+}
+
 async function parseCall(
   node: RouterNode,
   context: Context,
   request: IncomingMessage,
 ): Promise<Result<PlainCall, Failure>> {
-  const rest = (request.url ?? '').slice(SERVICE_PREFIX.length);
-  const slash = rest.indexOf('/');
-  const service = slash < 0 ? rest : rest.slice(0, slash);
-  const path = slash < 0 ? '/' : rest.slice(slash);
+  const target = parseTarget(request.url ?? '');
+  if (target.isErr()) return err(target.error);
+  const {service, path} = target.value;
   const spec = find(node.configuration, 'Service', service)?.spec;
   if (!spec || !customerNow(node, context)?.services.includes(service))
     return raise('forbidden', `service ${service} may not be used`);
   const method = request.method ?? 'GET';
-  const repeatable = isRepeatable(spec, method, path);
+  const repeatable = isRepeatable(spec, method, target.value.plainPath);
   if (repeatable === undefined)
     return raise('not-found', `${method} ${path} is not a declared call`);
   if (!repeatable && !context.idempotencyKey) {
--- a/apps/router/test/callers.test.ts
+++ b/apps/router/test/callers.test.ts
@@ -188,6 +188,32 @@
   },
 );
 
+test.serial('no path leads to another host, or around a claim', async t => {
+  const [instance] = scenario.services.instances.values();
+  const call = (path: string) =>
+    raw(
+      node().callers,
+      Buffer.from(
+        `POST /services/board${path} HTTP/1.1\r\nhost: x\r\n` +
+          `authorization: Bearer ${CUSTOMER_KEY}\r\nconnection: close\r\n` +
+          'content-length: 2\r\n\r\n{}',
+      ),
+      2_000,
+    );
+  for (const path of ['/x/../orders', '/%6frders', '//orders', '/./orders'])
+    t.regex(await call(path), /Idempotency-Key/, path);
+  t.regex(await call('//127.0.0.1:9/orders'), /not-found/);
+  t.regex(await call('/%ff'), /invalid-request/);
+  const before = instance.paths.length;
+  const answer = await send(node().callers, {
+    method: 'GET',
+    path: '/services/board//127.0.0.1:9/status',
+    key: CUSTOMER_KEY,
+  });
+  t.is(answer.status, 200, answer.text);
+  t.is(instance.paths.length, before + 1);
+});
+
 test.serial('an unknown operator key is refused', async t => {
   const answer = await send(node().operators, {
     method: 'GET',
--- a/apps/standins/src/service.ts
+++ b/apps/standins/src/service.ts
@@ -18,6 +18,8 @@
   workMs: number;
   incarnation: number;
   running: number;
+  /** Paths that were called, in order. */
+  readonly paths: string[];
 }
 
 const REPORT_MS = 200;
@@ -37,6 +39,7 @@
       });
       return streamReports(response, report, REPORT_MS);
     }
+    service.paths.push(url.pathname);
     const headers = {'x-request-id': String(request.headers['x-request-id'])};
     if (request.method === 'GET')
       return reply(response, 200, {status: 'on its way'}, headers);
@@ -56,6 +59,7 @@
     workMs: 10,
     incarnation: Date.now(),
     running: 0,
+    paths: [],
   };
   return service;
 }
--- a/packages/upstream/src/service.ts
+++ b/packages/upstream/src/service.ts
@@ -39,6 +39,15 @@
   return {node, idleMs};
 }
 
+/** A path is never taken for another host, as `//host/` would be. */
+function below(address: string, path: string): URL {
+  const {pathname, search} = new URL(`http://service${path}`);
+  const url = new URL(address);
+  url.pathname = pathname;
+  url.search = search;
+  return url;
+}
+
 /**
  * Calls a service over a connection of its own, so that a late or repeated
  * answer to another call cannot be taken for this one's.
@@ -51,7 +60,7 @@
 ): Promise<Result<ServiceAnswer, Failure>> {
   const agent = new http.Agent({keepAlive: false});
   const answer = await exchange({
-    url: new URL(call.path, address),
+    url: below(address, call.path),
     method: call.method,
     body: call.body,
     agent,
