--- a/apps/standins/src/measures/run.ts
+++ b/apps/standins/src/measures/run.ts
@@ -13,6 +13,7 @@
 import type {Measure} from './figures.js';
 import {measureOverload} from './overload.js';
 import {measureRollout} from './rollout.js';
+import {measureSpread} from './spread.js';
 
 /** Every measurement. */
 export const MEASURES: Readonly<Record<string, Measure>> = {
@@ -26,6 +27,7 @@
   streams: measureStreams,
   'store-outage': measureOutage,
   'node-churn': measureChurn,
+  spread: measureSpread,
   'control-cost': measureCost,
 };
 
