--- a/apps/router/src/callers.ts
+++ b/apps/router/src/callers.ts
@@ -2,7 +2,7 @@
 import {failure, messageOf} from '@parsleyarch/errors/failure';
 import {allowedVersions} from '@parsleyarch/policy/version';
 import * as http from 'node:http';
-import {parseChat, serveChat} from './chat.js';
+import {serveChat} from './chat.js';
 import {
   customerNow,
   openContext,
@@ -12,6 +12,7 @@
 } from './context.js';
 import type {RouterNode} from './node.js';
 import {SERVICE_PREFIX, servePlain} from './plain.js';
+import {parseChat} from './request.js';
 import {
   answerClientError,
   LISTENER_BOUNDS,
--- a/apps/router/src/chat.ts
+++ b/apps/router/src/chat.ts
@@ -1,173 +1,19 @@
-/** `POST /v1/chat/completions`: choice of a path, generation, bill, answer. */
+/** `POST /v1/chat/completions`: generation along a path, bill, answer. */
 import {failure, raise, Run, type Failure} from '@parsleyarch/errors/failure';
-import {canServe} from '@parsleyarch/policy/balance';
-import {
-  choosePath,
-  type CascadeOption,
-  type CascadePath,
-} from '@parsleyarch/policy/cascade';
-import {
-  chooseVersion,
-  type NamedVersion,
-  type VersionChoice,
-} from '@parsleyarch/policy/version';
-import {hashUnit} from '@parsleyarch/protocol/rendezvous';
+import type {CascadePath} from '@parsleyarch/policy/cascade';
 import {find} from '@parsleyarch/resource/configuration';
-import type {CustomerSpec} from '@parsleyarch/resource/schema';
 import type {ServerResponse} from 'node:http';
-import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import {err, type Result} from 'neverthrow';
 import {openAnswer, type Answering} from './answer.js';
 import {recordBill} from './bills.js';
 import {customerNow, timeLeft, type Context, type Spent} from './context.js';
 import {decide} from './decisions.js';
 import {runGeneration, workFingerprint, type Generated} from './generation.js';
-import {askRating, countRating, ratingsOf, sampleRating} from './learning.js';
+import {askRating, countRating, sampleRating} from './learning.js';
 import type {RouterNode} from './node.js';
-import {mintToken, resolvePin} from './sessions.js';
-import {viewUpstreams} from './upstreams.js';
-
-/** Model name with which a caller leaves the choice to the router. */
-const AUTO_MODEL = 'auto';
-const AUTO_TARGET = 0.7;
-const MAX_TOKENS = 4_096;
-const DEFAULT_TOKENS = 256;
-/** Expected time of one check by the rating service. */
-const CHECK_MS = 100;
-const BUCKETS = 100;
-
-const ChatRequest = z.object({
-  model: z.string().min(1).max(100),
-  messages: z
-    .array(z.object({role: z.string(), content: z.string()}))
-    .min(1)
-    .max(1_000),
-  max_tokens: z
-    .number()
-    .int()
-    .positive()
-    .max(MAX_TOKENS)
-    .default(DEFAULT_TOKENS),
-  stream: z.boolean().default(false),
-});
-export type ChatRequest = z.infer<typeof ChatRequest>;
-
-/** A version that the session would use, with its declaration. */
-interface Candidate extends NamedVersion {
-  readonly choice: VersionChoice;
-}
-
-/** Checks the body of a chat request. */
-export function parseChat(body: unknown): Result<ChatRequest, Failure> {
-  const parsed = ChatRequest.safeParse(body);
-  if (parsed.success) return ok(parsed.data);
-  const problems = parsed.error.issues.map(
-    ({path, message}) => `${path.join('.') || 'body'}: ${message}`,
-  );
-  return raise('invalid-request', problems.join('; '));
-}
-
-async function candidateFor(
-  node: RouterNode,
-  context: Context,
-  customer: CustomerSpec,
-  model: string,
-): Promise<Candidate | undefined> {
-  const {session} = context;
-  const bucket = hashUnit(`${session.id}/${model}`) * BUCKETS;
-  const facts = {bucket, braked: node.braked, pinned: session.pins[model]};
-  const choose = (pinned?: string) =>
-    chooseVersion(node.configuration, customer, model, {...facts, pinned});
-  let choice = choose(facts.pinned);
-  if (choice && session.own) {
-    const ask = {session: session.id, model, proposed: choice.version};
-    const pinned = await resolvePin(node, {...ask, replaces: ''});
-    choice = choose(pinned);
-    if (choice && choice.version !== pinned) {
-      const proposed = choice.version;
-      await resolvePin(node, {...ask, proposed, replaces: pinned});
-    }
-  }
-  if (!choice) return undefined;
-  const spec = find(node.configuration, 'Version', choice.version)?.spec;
-  return spec && {name: choice.version, spec, choice};
-}
-
-async function listCandidates(
-  node: RouterNode,
-  context: Context,
-  customer: CustomerSpec,
-  model: string,
-): Promise<Candidate[]> {
-  const models =
-    model === AUTO_MODEL
-      ? customer.models.map(grant => grant.model)
-      : customer.models.map(grant => grant.model).filter(m => m === model);
-  const candidates: Candidate[] = [];
-  for (const name of models) {
-    const candidate = await candidateFor(node, context, customer, name);
-    if (candidate) candidates.push(candidate);
-  }
-  const served = candidates.filter(({name}) => isServed(node, name));
-  return served.length > 0 ? served : candidates;
-}
-
-/** Whether some upstream could take work on a version now. */
-function isServed(node: RouterNode, version: string): boolean {
-  return viewUpstreams(node).some(view => canServe(view, {version}));
-}
-
-function optionOf(
-  node: RouterNode,
-  context: Context,
-  request: ChatRequest,
-  {name, spec}: Candidate,
-): CascadeOption {
-  const tokens = request.max_tokens;
-  return {
-    version: name,
-    cost: tokens * spec.tokenCost,
-    answerMs: spec.firstTokenMs + tokens * spec.tokenMs,
-    prior: spec.quality[context.taskClass] ?? spec.quality['general'] ?? 0.5,
-    ratings: ratingsOf(node, context.taskClass, name),
-  };
-}
-
-function planPath(
-  node: RouterNode,
-  context: Context,
-  request: ChatRequest,
-  candidates: readonly Candidate[],
-): Result<CascadePath, Failure> {
-  const {rater} = node.settings;
-  const target =
-    context.qualityTarget ?? (request.model === AUTO_MODEL ? AUTO_TARGET : 0);
-  const need = {
-    target,
-    deadlineMs: timeLeft(node, context),
-    check: rater && {cost: rater.costMicros, ms: CHECK_MS},
-  };
-  const options = candidates.map(candidate =>
-    optionOf(node, context, request, candidate),
-  );
-  const chosen = choosePath(options, need, node.random);
-  if (!chosen)
-    return raise('deadline-too-short', 'no version can answer in time');
-  decide(node, {
-    decision: 'path',
-    requestId: context.requestId,
-    customer: context.customer,
-    candidates: candidates.map(
-      ({name, choice}) => `${name} (${choice.reason})`,
-    ),
-    choice: [chosen.path.first, chosen.path.second].filter(Boolean).join(' > '),
-    reason: chosen.meets ? 'cheapest that meets the target' : 'best there is',
-    revision: node.configuration.revision,
-    target,
-    predicted: chosen.path.quality,
-  });
-  return ok(chosen.path);
-}
+import {listCandidates, planPath} from './path.js';
+import {promptOf, type ChatRequest} from './request.js';
+import {mintToken} from './sessions.js';
 
 /** What a finished generation was made by. */
 interface Produced {
@@ -175,10 +21,6 @@
   readonly generated: Generated;
 }
 
-function promptOf(request: ChatRequest): string {
-  return request.messages.map(m => `${m.role}: ${m.content}`).join('\n');
-}
-
 async function runVersion(
   node: RouterNode,
   context: Context,
--- a/apps/router/test/config.test.ts
+++ b/apps/router/test/config.test.ts
@@ -153,6 +153,30 @@
   },
 );
 
+test.serial(
+  'a new node starts from a snapshot and the entries after it',
+  async t => {
+    const {cluster} = scenario;
+    const {items} = cluster.store;
+    for (let entry = 0; entry < 220; entry += 1)
+      await declare(cluster.nodes[0], [domain(entry % 2 ? 'in' : 'out')]);
+    await until('a snapshot', () => items.has('config/snapshot'));
+    const {revision} = items.get('config/snapshot')!.value as {
+      revision: number;
+    };
+    for (const key of items.keys()) {
+      const number = Number(key.slice('config/log/'.length));
+      if (key.startsWith('config/log/') && number <= revision)
+        items.delete(key);
+    }
+    const last = await declare(cluster.nodes[0], [domain('out')]);
+    const fresh = await addNode(cluster, 'vm-6', 'johar');
+    await ready(fresh);
+    t.true((await revisionOf(fresh)) >= last);
+    t.is(await stateOf(fresh, 'johar'), 'out');
+  },
+);
+
 test.serial('with the store away for all, nodes go on serving', async t => {
   const {cluster} = scenario;
   takeDown(cluster.store);
