Drop copies of bills by order, and keep those of bills still to write

Cause, found by reading: word that a batch was written could be lost or be overtaken by a late copy, so a peer kept copies of a live origin for good; and an origin whose batch a peer had written in part told its peers 'written' while the missing bills waited in memory only. Change: batches are written in order, so word of one ends all before it; nothing is told until the missing bills are in a written batch. The second half has no test of its own: it needs a death within the second after a wrong suspicion.

--- a/apps/router/src/bills.ts
+++ b/apps/router/src/bills.ts
@@ -126,20 +126,38 @@
     if (!settled) return;
     node.bills.sealed.delete(sequence);
     node.bills.open.push(...missing);
-    tellWritten(node, sequence);
+    // Peers keep their copies until the batch with the missing ones is written.
+    if (missing.length === 0) tellWritten(node, sequence);
+  }
+}
+
+function originOf({node, incarnation}: Pick<BillCopy, 'node' | 'incarnation'>) {
+  return `${node}/${incarnation}`;
+}
+
+/** Batches are written in order: one that is written ends all before it. */
+function dropWritten(node: RouterNode, last: BillCopy): void {
+  const {copies, written} = node.bills;
+  const origin = originOf(last);
+  written.set(origin, Math.max(written.get(origin) ?? 0, last.sequence));
+  for (const [key, copy] of copies) {
+    if (originOf(copy) !== origin || copy.sequence > last.sequence) continue;
+    copies.delete(key);
   }
 }
 
 /** Keeps a copy for a peer, or drops it once the batch is written. */
 export function takeCopy(node: RouterNode, copy: BillCopy): void {
-  const key = batchKey(copy);
+  const {copies, written} = node.bills;
   if (copy.written) {
-    node.bills.copies.delete(key);
+    dropWritten(node, copy);
     return;
   }
-  const known = node.bills.copies.get(key);
-  const bills = [...(known?.bills ?? []), ...copy.bills];
-  node.bills.copies.set(key, {...copy, bills});
+  // A copy that comes after its batch was written is in that batch.
+  if (copy.sequence <= (written.get(originOf(copy)) ?? 0)) return;
+  const key = batchKey(copy);
+  const bills = [...(copies.get(key)?.bills ?? []), ...copy.bills];
+  copies.set(key, {...copy, bills});
 }
 
 function isGone(node: RouterNode, origin: BillCopy): boolean {
@@ -157,6 +175,7 @@
     if (!settled) return;
     node.bills.copies.delete(key);
     node.bills.open.push(...missing);
+    node.bills.written.delete(originOf(copy));
     node.log.info(
       {key, bills: copy.bills.length},
       'wrote bills of a lost node',
--- a/apps/router/src/node.ts
+++ b/apps/router/src/node.ts
@@ -107,6 +107,8 @@
   readonly sealed: Map<number, Bill[]>;
   /** Copies held for peers, by batch key. */
   readonly copies: Map<string, BillCopy>;
+  /** Last batch that the store holds, by origin. */
+  readonly written: Map<string, number>;
 }
 
 /** One node. */
@@ -210,7 +212,13 @@
     waiting: new Map(),
     retries: new Map(),
     rates: new Map(),
-    bills: {sequence: 1, open: [], sealed: new Map(), copies: new Map()},
+    bills: {
+      sequence: 1,
+      open: [],
+      sealed: new Map(),
+      copies: new Map(),
+      written: new Map(),
+    },
     pins: new Map(),
     poison: EMPTY_BOOK,
     evidence: createEvidence(),
