Number asks for credits by node, not by upstream object

Cause, found by reading: an upstream that is declared at another address gets a new state here, whose asks began again at 1; its steward takes such asks for old ones that come late and grants nothing until the numbers have caught up. Ruled out: telling the steward of the new address (more protocol for nothing).

--- a/apps/router/src/credits.ts
+++ b/apps/router/src/credits.ts
@@ -63,14 +63,14 @@
   const holding = Math.max(inUse, Math.min(goodCredits(node, upstream), want));
   // From here on the node uses no more than it says it holds.
   if (upstream.grant) upstream.grant = {...upstream.grant, credits: holding};
-  upstream.askSequence += 1;
+  node.askSequence += 1;
   return {
     upstream: upstream.name,
     node: node.name,
     incarnation: node.incarnation,
     upstreamIncarnation: upstream.report?.incarnation ?? 0,
     knownLimit: upstream.grant?.limit ?? 0,
-    sequence: upstream.askSequence,
+    sequence: node.askSequence,
     holding,
     want,
     succeeded: upstream.succeeded,
--- a/apps/router/src/node.ts
+++ b/apps/router/src/node.ts
@@ -77,7 +77,6 @@
   /** Requests broken off lately, with the time of the break. */
   lost: Array<{readonly at: number; readonly running: Running}>;
   grant?: HeldGrant;
-  askSequence: number;
   /** Term of the steward that has had a report: node and epoch. */
   reportedTo?: string;
   succeeded: number;
@@ -135,6 +134,8 @@
   /** Upstream VMs that the platform lists as leaving. */
   leavingVms: ReadonlySet<string>;
   beatSequence: number;
+  /** Number of the last ask for credits, whatever upstream it was for. */
+  askSequence: number;
   stopping: boolean;
   active: number;
   readonly upstreams: Map<string, UpstreamState>;
@@ -203,6 +204,7 @@
     membership: createMembership(settings.node),
     leavingVms: new Set(),
     beatSequence: 0,
+    askSequence: 0,
     stopping: false,
     active: 0,
     upstreams: new Map(),
--- a/apps/router/src/upstreams.ts
+++ b/apps/router/src/upstreams.ts
@@ -23,7 +23,6 @@
     incarnation: 0,
     running: new Map(),
     lost: [],
-    askSequence: 0,
     succeeded: 0,
     failed: false,
     lastUsedAt: -Infinity,
--- a/apps/router/test/leaving.test.ts
+++ b/apps/router/test/leaving.test.ts
@@ -1,6 +1,7 @@
 import {chat, type CallerAnswer} from '@parsleyarch/standins/client';
-import {declare, inForce} from '@parsleyarch/standins/cluster';
+import {declare, inForce, until} from '@parsleyarch/standins/cluster';
 import {wholeAnswer} from '@parsleyarch/standins/engine';
+import {startProxy} from '@parsleyarch/standins/proxy';
 import {
   closeScenario,
   CUSTOMER_KEY,
@@ -129,6 +130,42 @@
   vms.delete(vm.node);
 });
 
+test.serial(
+  'an upstream that moves to another address gets work there',
+  async t => {
+    const {cluster} = scenario;
+    const [declared, ...others] = scenario.engines.declarations;
+    const proxy = await startProxy(engine(0).server.port);
+    const moved = {
+      ...declared,
+      spec: {...declared.spec, address: proxy.address},
+    };
+    const drained = others.map(each => ({
+      ...each,
+      spec: {...each.spec, state: 'draining'},
+    }));
+    // Many asks for credits at the old address come before the first at the new.
+    for (let round = 0; round < 60; round += 1)
+      await chat(cluster.nodes[0].callers, CUSTOMER_KEY, `before ${round}`);
+    await inForce(
+      cluster,
+      await declare(cluster.nodes[0], [moved, ...drained]),
+    );
+    await until('an answer from the new address', async () => {
+      const answer = await chat(
+        cluster.nodes[0].callers,
+        CUSTOMER_KEY,
+        'moved',
+      );
+      return answer.whole;
+    });
+    t.true(proxy.passed.bytes > 0);
+    const back = scenario.engines.declarations;
+    await inForce(cluster, await declare(cluster.nodes[0], [...back]));
+    await proxy.close();
+  },
+);
+
 test.serial(
   'a version withdrawn under load gets no new work, store gone after or not',
   async t => {
