--- a/apps/standins/src/measures/rollout.ts
+++ b/apps/standins/src/measures/rollout.ts
@@ -43,8 +43,11 @@
   bad: number;
 }
 
-/** One roll-out; each node sees its own counts at once, others' with a lag. */
-function runOnce(seed: number, rate: number): Run {
+/**
+ * One roll-out; each node sees its own counts at once, others' with a lag.
+ * Without the test the steps go on by requests and time alone.
+ */
+function runOnce(seed: number, rate: number, tested: boolean): Run {
   const random = seeded(seed);
   const old = tally(OLD_SEEN, Math.round(OLD_SEEN * OLD_RATE));
   const buckets = Array.from({length: CALLERS}, () => random() * 100);
@@ -73,11 +76,11 @@
     const bad = view.reduce((sum, counts) => sum + counts.bad, 0);
     const fresh = tally(seen, bad);
     const seconds = now / 1_000;
-    if (findHarm(fresh, old))
+    if (tested && findHarm(fresh, old))
       return {exposed: exposed.size, requests, stopped: true, seconds};
     const move = nextMove(
       spec,
-      fresh,
+      tested ? fresh : old,
       old,
       seen - seenBefore,
       now - stepAt,
@@ -101,18 +104,23 @@
 const RUNS = 60;
 const EQUAL_RUNS = 400;
 
-function summarise(seed: number, worseBy: number, runs: number) {
+function summarise(seed: number, worseBy: number, runs: number, tested = true) {
   const all = Array.from({length: runs}, (_, run) =>
-    runOnce(seed * 10_000 + run, OLD_RATE + worseBy),
+    runOnce(seed * 10_000 + run, OLD_RATE + worseBy, tested),
   );
   const sorted = (pick: (run: Run) => number) =>
     all.map(pick).sort((a, b) => a - b);
   const middle = Math.floor(runs / 2);
   return {
     stoppedShare: round(all.filter(run => run.stopped).length / runs),
+    // Nobody's bucket lies in the first step, which then never ends.
+    nobodyExposedShare: round(
+      all.filter(run => run.exposed === 0).length / runs,
+    ),
     callersExposedMedian: sorted(run => run.exposed)[middle],
     callersExposedMost: sorted(run => run.exposed)[runs - 1],
     requestsMedian: sorted(run => run.requests)[middle],
+    secondsMedian: Math.round(sorted(run => run.seconds)[middle]),
   };
 }
 
@@ -126,6 +134,7 @@
     badBy20: summarise(seed, 0.2, RUNS),
     badBy5: summarise(seed, 0.05, RUNS),
     falseStops: equal.stoppedShare,
-    baselineWithoutTest: {callersExposedMedian: CALLERS},
+    equal,
+    badBy50WithoutTest: summarise(seed, 0.5, RUNS, false),
   };
 }
--- a/packages/policy/src/rollout.ts
+++ b/packages/policy/src/rollout.ts
@@ -69,6 +69,16 @@
   return undefined;
 }
 
+/** Evidence, as a logarithm, at which a roll-out stays at its step for now. */
+const DOUBT = 0;
+
+/** Whether some signal leans against the new version, short of proof. */
+function isDoubtful(fresh: VersionTally, old: VersionTally): boolean {
+  return SIGNALS.some(
+    signal => evidenceAgainst(fresh[signal], old[signal]) > DOUBT,
+  );
+}
+
 /** Requests that each step must see on the new version before the next. */
 const STEP_REQUESTS = 40;
 
@@ -105,6 +115,7 @@
   }
   if (seenAtStep < STEP_REQUESTS || stepAgeMs < minStepMs)
     return {move: 'stay'};
+  if (isDoubtful(fresh, old)) return {move: 'stay'};
   const isLast = rollout.step >= rollout.steps.length - 1;
   const spec: RolloutSpec = isLast
     ? {...rollout, state: 'done'}
--- a/packages/policy/test/rollout.test.ts
+++ b/packages/policy/test/rollout.test.ts
@@ -61,3 +61,11 @@
   const paused = {...spec, state: 'paused' as const};
   t.is(nextMove(paused, tally(50, 40), tally(500, 20), 50, 0, 0).move, 'stay');
 });
+
+test('evidence short of proof holds a roll-out at its step', t => {
+  const spec = {...ROLLOUT, steps: [...ROLLOUT.steps]};
+  const old = tally(2_000, 100);
+  const worse = tally(200, 22);
+  t.is(findHarm(worse, old), undefined);
+  t.is(nextMove(spec, worse, old, 200, 60_000, 1_000).move, 'stay');
+});
