Check for second bills in later batches too

Change: the test waits for two later batches of the same node before it counts. Also: wait() stands once, in lifecycle; a stop whose grace is over says what it cuts; the rest of the public items have their doc comments.

--- a/apps/router/src/claims.ts
+++ b/apps/router/src/claims.ts
@@ -1,5 +1,6 @@
 /** Claims in the store for calls that may run at most once. */
 import {failure, type Failure} from '@parsleyarch/errors/failure';
+import {wait} from '@parsleyarch/lifecycle/process';
 import {
   afterClaim,
   afterClaimRead,
@@ -37,8 +38,6 @@
   return `once/${customer}/${key}`;
 }
 
-const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-
 const REFUSALS: Readonly<Partial<Record<ClaimStep, Failure>>> = {
   unknown: failure(
     'outcome-unknown',
--- a/apps/router/src/config.ts
+++ b/apps/router/src/config.ts
@@ -1,5 +1,6 @@
 /** The node's copy of the configuration log: tail, relay and append. */
 import {failure, type Failure} from '@parsleyarch/errors/failure';
+import {wait} from '@parsleyarch/lifecycle/process';
 import {callPeer} from '@parsleyarch/peer/client';
 import type {Entries} from '@parsleyarch/peer/messages';
 import {relayedConfirmation} from '@parsleyarch/protocol/freshness';
@@ -204,8 +205,6 @@
   return {entries: missing.map(entry => JSON.stringify(entry)), snapshot: ''};
 }
 
-const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-
 async function readSlot(
   node: RouterNode,
   number: number,
--- a/apps/router/src/serve.ts
+++ b/apps/router/src/serve.ts
@@ -1,5 +1,5 @@
 /** Starts a node, and stops it without cutting a request. */
-import {repeat} from '@parsleyarch/lifecycle/process';
+import {repeat, wait} from '@parsleyarch/lifecycle/process';
 import {own, stop} from '@parsleyarch/lifecycle/manager';
 import {closePeerClient} from '@parsleyarch/peer/client';
 import {closePeerServer, listenForPeers} from '@parsleyarch/peer/server';
@@ -97,8 +97,6 @@
   });
 }
 
-const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-
 /** Leaves in order: unready, balancer's lag, no new connections, last answer. */
 async function drain(node: RouterNode, callers: Server): Promise<void> {
   const {balancerLagMs, graceMs} = node.settings.stop;
@@ -112,6 +110,8 @@
   const closed = closeServer(callers);
   const until = node.clock() + graceMs;
   while (node.active > 0 && node.clock() < until) await wait(DRAIN_POLL_MS);
+  if (node.active > 0)
+    node.log.error({active: node.active}, 'grace is over; requests are cut');
   callers.closeAllConnections();
   await closed;
   await writeBills(node);
--- a/apps/router/src/settings.ts
+++ b/apps/router/src/settings.ts
@@ -61,6 +61,7 @@
     .default('info'),
 });
 
+/** Settings as they were checked, defaults filled in. */
 export type Settings = z.infer<typeof Settings>;
 
 function lineOf(text: string, offset: number): number {
--- a/apps/router/src/upstreams.ts
+++ b/apps/router/src/upstreams.ts
@@ -1,4 +1,5 @@
 /** What the node knows of upstreams: declarations, load reports, crashes. */
+import {wait} from '@parsleyarch/lifecycle/process';
 import type {UpstreamView} from '@parsleyarch/policy/balance';
 import {find, list} from '@parsleyarch/resource/configuration';
 import type {UpstreamSpec} from '@parsleyarch/resource/schema';
@@ -90,7 +91,7 @@
     upstream.report = undefined;
     upstream.grant = undefined;
     wakeWatchers(upstream);
-    await new Promise(resolve => setTimeout(resolve, REOPEN_MS));
+    await wait(REOPEN_MS);
   }
 }
 
--- a/apps/router/test/bills.test.ts
+++ b/apps/router/test/bills.test.ts
@@ -54,10 +54,17 @@
   });
 }
 
+/** Waits for later batches of a node, in which a second bill would stand. */
+async function laterBatches(index: number): Promise<void> {
+  for (let round = 0; round < 2; round += 1)
+    await billed(await serve(index, 1));
+}
+
 test.serial('each answer is billed once', async t => {
   const ids = await serve(0, 8);
   t.true(ids.length > 0);
   await billed(ids);
+  await laterBatches(0);
   for (const id of ids) t.is(timesBilled(id), 1);
 });
 
@@ -68,6 +75,7 @@
     key.startsWith('bill/') && (writes += 1) % 2 === 1;
   const ids = await serve(1, 8);
   await billed(ids);
+  await laterBatches(1);
   store.faults.loseWrite = () => false;
   for (const id of ids) t.is(timesBilled(id), 1);
 });
@@ -139,6 +147,7 @@
   );
   bringBack(store);
   await billed(ids);
+  await laterBatches(0);
   for (const id of ids) t.is(timesBilled(id), 1);
 });
 
--- a/apps/standins/src/http.ts
+++ b/apps/standins/src/http.ts
@@ -14,6 +14,7 @@
   close(): Promise<void>;
 }
 
+/** What a stand-in does on a request. */
 export type Handle = (
   request: http.IncomingMessage,
   response: http.ServerResponse,
--- a/packages/errors/src/failure.ts
+++ b/packages/errors/src/failure.ts
@@ -57,6 +57,7 @@
   internal: {status: 500, run: Run.unknown, retryable: false},
 } as const satisfies Record<string, Answer>;
 
+/** Name of a kind of error. */
 export type FailureKind = keyof typeof ANSWERS;
 
 /** An error as a value; `run` differs from the table's only when it is known better. */
--- a/packages/lifecycle/src/process.ts
+++ b/packages/lifecycle/src/process.ts
@@ -4,6 +4,11 @@
  */
 import * as csp from 'js-csp';
 
+/** Resolves after a time. */
+export function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 /** A channel that yields the promise's outcome, then closes. */
 export function settle<T>(promise: Promise<T>): csp.Channel<Settled<T>> {
   const channel = csp.chan<Settled<T>>(1);
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -4,39 +4,49 @@
 import type {ToldStewardship} from '@parsleyarch/protocol/handover';
 import type {Heartbeat} from '@parsleyarch/protocol/membership';
 
+/** Heartbeats that a node knows, its own first. */
 export interface Beats {
   readonly beats: readonly Heartbeat[];
 }
+/** Asks for the log entries after a revision. */
 export interface EntriesAfter {
   readonly revision: number;
 }
+/** Log entries, or a snapshot when the first ones are gone. */
 export interface Entries {
   /** Log entries in JSON, in order. */
   readonly entries: readonly string[];
   /** A whole configuration in JSON, or empty. */
   readonly snapshot: string;
 }
+/** A report and wish for one upstream. */
 export interface CreditAsk extends CreditRequest {
   readonly upstream: string;
 }
+/** Asks of one round to one steward. */
 export interface CreditAsks {
   readonly asks: readonly CreditAsk[];
 }
+/** A steward's answer for one upstream. */
 export interface CreditAnswer extends CreditGrant {
   readonly upstream: string;
 }
+/** Answers; upstreams that the node does not hold are left out. */
 export interface CreditAnswers {
   readonly answers: readonly CreditAnswer[];
 }
+/** What a leaving steward tells of one upstream. */
 export interface StewardedUpstream extends ToldStewardship {
   readonly upstream: string;
 }
+/** What a leaving steward tells of one group. */
 export interface Handover {
   readonly group: string;
   /** Epoch with which the receiver will hold the group. */
   readonly epoch: number;
   readonly upstreams: readonly StewardedUpstream[];
 }
+/** A copy of part of a batch, or word that it is written. */
 export interface BillCopy {
   readonly node: string;
   readonly incarnation: number;
@@ -45,6 +55,7 @@
   /** Whether the batch stands in the store, so that copies may go. */
   readonly written: boolean;
 }
+/** Asks a session's owner for its version. */
 export interface PinAsk {
   readonly session: string;
   readonly model: string;
@@ -52,30 +63,37 @@
   /** Version whose pin is to be replaced, or empty. */
   readonly replaces: string;
 }
+/** The version that a session is pinned to. */
 export interface PinAnswer {
   readonly version: string;
 }
+/** One pin. */
 export interface PinEntry {
   readonly session: string;
   readonly model: string;
   readonly version: string;
 }
+/** Pins to keep copies of. */
 export interface PinCopy {
   readonly pins: readonly PinEntry[];
 }
+/** News for all nodes. */
 export interface Evidence {
   readonly node: string;
   readonly incarnation: number;
   /** JSON; its shape belongs to the decision that shares it. */
   readonly body: string;
 }
+/** Asks for the decisions of a request. */
 export interface ExplainAsk {
   readonly requestId: string;
 }
+/** Decisions that a node remembers of a request. */
 export interface Explanation {
   /** Decision lines in JSON, oldest first. */
   readonly lines: readonly string[];
 }
+/** An answer without content. */
 export type Ack = Record<string, never>;
 
 /** Every call between nodes, by name. */
@@ -91,4 +109,5 @@
   explain: [ExplainAsk, Explanation];
 }
 
+/** Name of a call between nodes. */
 export type PeerCall = keyof PeerCalls;
--- a/packages/policy/src/rollout.ts
+++ b/packages/policy/src/rollout.ts
@@ -14,6 +14,7 @@
 
 /** Signals on which versions are compared. */
 export const SIGNALS = ['error', 'latency', 'rating'] as const;
+/** One of the signals. */
 export type Signal = (typeof SIGNALS)[number];
 
 /** Counts of one version, by signal. */
--- a/packages/resource/src/schema.ts
+++ b/packages/resource/src/schema.ts
@@ -124,14 +124,22 @@
   Steward,
 } as const;
 
+/** Name of a kind of resource. */
 export type Kind = keyof typeof SCHEMAS;
+/** Every kind, in the order in which they are listed. */
 export const KINDS = Object.keys(SCHEMAS) as Kind[];
 
+/** Declared part of a Customer. */
 export type CustomerSpec = z.infer<typeof Customer>;
+/** Declared part of a Version. */
 export type VersionSpec = z.infer<typeof Version>;
+/** Declared part of a Rollout. */
 export type RolloutSpec = z.infer<typeof Rollout>;
+/** Declared part of a Upstream. */
 export type UpstreamSpec = z.infer<typeof Upstream>;
+/** Declared part of a Service. */
 export type ServiceSpec = z.infer<typeof Service>;
+/** Declared part of a Steward. */
 export type StewardSpec = z.infer<typeof Steward>;
 
 /** The declared part of a resource, by kind. */
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -12,6 +12,7 @@
   readonly [extra: string]: unknown;
 }
 
+/** The log of one process. */
 export type Log = Logger;
 
 /** Creates the log of one process; lines go to standard output. */
