--- a/apps/standins/src/demo.ts
+++ b/apps/standins/src/demo.ts
@@ -12,11 +12,14 @@
   startCluster,
   type Cluster,
 } from './cluster.js';
-import {startEngines, startServices} from './deployment.js';
-import {wholeAnswer} from './engine.js';
+import {startEngines, startServices, type Pool} from './deployment.js';
+import {wholeAnswer, type EngineStandIn} from './engine.js';
+import type {ServiceStandIn} from './service.js';
 
 const run = promisify(execFile);
 const ROUTER = 'build/parsleyarch.cjs';
+/** Time in which an accepted change is in force everywhere. */
+const IN_FORCE_MS = 8_000;
 const CHOIR = 'key-of-st-nicholas-choir';
 const RECEPTION = 'key-of-office-tower-reception';
 
@@ -111,7 +114,7 @@
 async function checkDomainOut(
   cluster: Cluster,
   checks: Checks,
-  engines: Awaited<ReturnType<typeof startEngines>>,
+  engines: Pool<EngineStandIn>,
 ): Promise<void> {
   const [, engine] = [...engines.instances][0];
   const answer = await operate(
@@ -124,7 +127,7 @@
     },
   );
   const {revision} = answer.json as {revision: number};
-  await inForce(cluster, revision, 8_000);
+  await inForce(cluster, revision, IN_FORCE_MS);
   const outAt = Date.now();
   await streamTraffic(cluster, checks, CHOIR, 'hymn', 40);
   note(
@@ -134,6 +137,110 @@
   );
 }
 
+async function checkAllowed(cluster: Cluster, checks: Checks): Promise<void> {
+  const [node] = cluster.nodes;
+  const pairs = [
+    [CHOIR, 'basket'],
+    [RECEPTION, 'hymn'],
+    [RECEPTION, 'announce'],
+  ];
+  for (const [key, model] of pairs) {
+    const answer = await chat(node.callers, key, 'not mine', {model});
+    const refused = answer.error?.kind === 'model-not-allowed';
+    note(checks, 'only allowed models and versions', refused);
+  }
+}
+
+async function checkWithdrawn(
+  cluster: Cluster,
+  checks: Checks,
+  engines: Pool<EngineStandIn>,
+): Promise<void> {
+  const begun = () =>
+    [...engines.instances.values()].reduce(
+      (sum, engine) => sum + (engine.begun.get('hymn-2') ?? 0),
+      0,
+    );
+  const spec = {model: 'hymn', tokenCost: 18, state: 'withdrawn'};
+  const revision = await declare(cluster.nodes[2], [
+    {kind: 'Version', name: 'hymn-2', spec},
+  ]);
+  await inForce(cluster, revision, IN_FORCE_MS);
+  const before = begun();
+  await streamTraffic(cluster, checks, CHOIR, 'hymn', 30);
+  note(checks, 'a withdrawn version gets no new work', begun() === before);
+}
+
+async function checkLeaving(
+  cluster: Cluster,
+  checks: Checks,
+  engines: Pool<EngineStandIn>,
+): Promise<void> {
+  const declared = engines.declarations[1];
+  const spec = {...declared.spec, state: 'draining'};
+  const revision = await declare(cluster.nodes[0], [{...declared, spec}]);
+  await inForce(cluster, revision, IN_FORCE_MS);
+  const since = Date.now();
+  await streamTraffic(cluster, checks, CHOIR, 'hymn', 20);
+  const engine = engines.instances.get(declared.name)!;
+  const promise = 'an upstream that is leaving gets no new work';
+  note(checks, promise, engine.lastBegunAt < since);
+}
+
+async function checkNotRun(
+  cluster: Cluster,
+  checks: Checks,
+  dispatch: Pool<ServiceStandIn>,
+): Promise<void> {
+  const instances = [...dispatch.instances.values()];
+  for (const instance of instances) await instance.server.shut();
+  for (let index = 0; index < 5; index += 1) {
+    const id = `refused-${index}`;
+    const answer = await send(cluster.nodes[index % 3].callers, {
+      path: '/services/dispatch/orders',
+      key: RECEPTION,
+      headers: {'idempotency-key': id},
+      body: {id},
+    });
+    const told = answer.error?.run === 'not-run';
+    const ran = instances[0].runs.has(id);
+    note(checks, 'a refusal that says "not run" is true', told && !ran);
+  }
+  for (const instance of instances) await instance.server.open();
+}
+
+async function checkInForce(cluster: Cluster, checks: Checks): Promise<void> {
+  let last = 0;
+  for (const node of [...cluster.nodes, ...cluster.nodes]) {
+    const state = last % 2 ? 'in' : 'out';
+    const spec = {region: 'lahore', state};
+    const revision = await declare(node, [
+      {kind: 'FailureDomain', name: 'johar', spec},
+    ]);
+    const kept = await inForce(cluster, revision, IN_FORCE_MS).then(
+      () => true,
+      () => false,
+    );
+    note(checks, 'in force everywhere in 8 s, never reverts', kept);
+    note(checks, 'in force everywhere in 8 s, never reverts', revision > last);
+    last = revision;
+  }
+}
+
+async function checkStop(cluster: Cluster, checks: Checks): Promise<void> {
+  const [, , leaving] = cluster.nodes;
+  const prompts = Array.from({length: 8}, (_, at) => `while stopping ${at}`);
+  const streams = prompts.map(prompt => chat(leaving.callers, CHOIR, prompt));
+  const code = await leaving.stop();
+  note(checks, 'a planned stop cuts no request', code === 0);
+  for (const [index, stream] of streams.entries()) {
+    const answer = await stream;
+    const kept =
+      isWhole(answer, prompts[index]) || answer.error?.run === 'not-run';
+    note(checks, 'a planned stop cuts no request', kept);
+  }
+}
+
 async function checkBills(cluster: Cluster, checks: Checks, served: number) {
   await new Promise(resolve => setTimeout(resolve, 2_500));
   const bills = [...cluster.store.items.values()]
@@ -201,9 +308,13 @@
     );
     await checkSessions(cluster, checks);
     await checkDomainOut(cluster, checks, hymn);
+    await checkAllowed(cluster, checks);
+    await checkWithdrawn(cluster, checks, hymn);
+    await checkLeaving(cluster, checks, hymn);
+    await checkNotRun(cluster, checks, dispatch);
+    await checkInForce(cluster, checks);
     await checkBills(cluster, checks, served);
-    const code = await cluster.nodes[2].stop();
-    note(checks, 'a planned stop ends cleanly', code === 0);
+    await checkStop(cluster, checks);
     const crashes = [...hymn.instances.values(), ...basket.instances.values()]
       .map(engine => engine.crashes)
       .reduce((a, b) => a + b, 0);
