--- a/apps/standins/src/measures/cost.ts
+++ b/apps/standins/src/measures/cost.ts
@@ -1,4 +1,5 @@
 /** What control costs a node as nodes and upstreams grow, and a request's cost. */
+import {chooseUpstream, type UpstreamView} from '@parsleyarch/policy/balance';
 import {grantCredits, createStewardship} from '@parsleyarch/protocol/credit';
 import {
   applyVmList,
@@ -15,7 +16,9 @@
 
 const PLACES = ['a', 'b', 'c'];
 const NODE_COUNTS = [2, 4, 8, 16] as const;
-const UPSTREAM_COUNTS = [50, 100, 200, 400, 800] as const;
+/** Heartbeats that a node tells, and upstreams that it chooses among. */
+const PEER_COUNTS = [50, 100, 200, 400, 800] as const;
+const UPSTREAM_COUNTS = PEER_COUNTS;
 const IDLE_SECONDS = 8;
 /** Time for start-up work and compilation to be over, milliseconds. */
 const SETTLE_MS = 6_000;
@@ -120,11 +123,62 @@
   };
 }
 
+/** Microseconds of one turn, after some turns to warm up. */
+function timeOf(turns: number, turn: (at: number) => void): number {
+  for (let at = 0; at < turns / 4; at += 1) turn(at);
+  const startedAt = performance.now();
+  for (let at = 0; at < turns; at += 1) turn(at);
+  return round(((performance.now() - startedAt) * 1_000) / turns, 1);
+}
+
+/** Time of one choice among many upstreams. */
+function upstreamCost() {
+  const figures: Record<string, unknown> = {};
+  for (const count of UPSTREAM_COUNTS) {
+    const views = Array.from({length: count}, (_, at) => makeView(`u${at}`));
+    const need = {
+      version: 'v',
+      failureDomain: 'a',
+      avoid: new Set<string>(),
+      suspect: false,
+      affinity: (name: string) => Number(name.slice(1)) % 17,
+    };
+    const random = seeded(count);
+    figures[`chooseAmong${count}Micros`] = timeOf(2_000, () => {
+      chooseUpstream(views, need, random);
+    });
+  }
+  return figures;
+}
+
+function makeView(name: string): UpstreamView {
+  return {
+    name,
+    spec: {
+      failureDomain: 'a',
+      address: 'http://upstream',
+      versions: ['v'],
+      coldLimit: 2,
+      warmLimit: 8,
+      state: 'in',
+      checksOrders: true,
+    },
+    domainOut: false,
+    vmLeaving: false,
+    reachable: true,
+    credits: 4,
+    inFlight: 1,
+    reportedRunning: 2,
+    limit: 8,
+    suspects: 0,
+  };
+}
+
 /** Time of one call of the pure steward and membership, microseconds. */
 function pureCost() {
   const ROUNDS = 20_000;
   const figures: Record<string, unknown> = {};
-  for (const nodes of UPSTREAM_COUNTS) {
+  for (const nodes of PEER_COUNTS) {
     const vms = Array.from({length: nodes}, (_, at) => ({
       node: `vm-${at}`,
       address: '',
@@ -190,5 +244,6 @@
   }
   say('one node under load');
   const request = await requestCost(seed);
-  return {violations: 0, idle, request, pure: pureCost()};
+  const pure = {...pureCost(), ...upstreamCost()};
+  return {violations: 0, idle, request, pure};
 };
