Turn an upstream cold right after a flood in its proof

Cause: the mutation that counts an earlier start's successes went unseen in a full run of the mutation check, since they had been reported before the turn.

--- a/apps/router/test/cold.test.ts
+++ b/apps/router/test/cold.test.ts
@@ -94,6 +94,8 @@
 
 test.serial('a silent cold turn is noticed from the load report', async t => {
   const [engine] = engines();
+  // The last successes before the turn are not reported to the steward yet.
+  await flood(2);
   turnCold(engine);
   // The report that shows it comes a period later.
   const reportMs = engine.options.reportMs;
