--- a/apps/router/src/config.ts
+++ b/apps/router/src/config.ts
@@ -81,10 +81,7 @@
 }
 
 /** Applies entries that follow the present revision; others change nothing. */
-export function applyEntries(
-  node: RouterNode,
-  entries: readonly Entry[],
-): void {
+function applyEntries(node: RouterNode, entries: readonly Entry[]): void {
   const before = node.configuration.revision;
   for (const entry of entries) {
     const next = applyEntry(node.configuration, entry);
--- a/apps/router/src/context.ts
+++ b/apps/router/src/context.ts
@@ -60,7 +60,7 @@
 }
 
 /** Whose key this is. */
-export function authenticate(
+function authenticate(
   node: RouterNode,
   request: IncomingMessage,
 ): Result<Resource<'Customer'>, Failure> {
--- a/apps/router/src/credits.ts
+++ b/apps/router/src/credits.ts
@@ -33,7 +33,7 @@
 }
 
 /** What a pool's name says of its upstreams. */
-export function poolNeed(pool: string): {version?: string; service?: string} {
+function poolNeed(pool: string): {version?: string; service?: string} {
   const at = pool.indexOf(':');
   const name = pool.slice(at + 1);
   return pool.startsWith('version:') ? {version: name} : {service: name};
--- a/apps/router/src/gossip.ts
+++ b/apps/router/src/gossip.ts
@@ -36,7 +36,7 @@
 type PlatformVm = z.infer<typeof VmList>['vms'][number];
 
 /** This node's own heartbeat. */
-export function ownBeat(node: RouterNode): Heartbeat {
+function ownBeat(node: RouterNode): Heartbeat {
   node.beatSequence += 1;
   const age = node.clock() - node.tail.confirmedAt;
   return {
--- a/apps/router/src/stewards.ts
+++ b/apps/router/src/stewards.ts
@@ -26,7 +26,7 @@
 import {freshness, liveNames, peerAddress, type RouterNode} from './node.js';
 
 /** Groups into which upstreams are divided; each has one steward. */
-export const GROUPS = 16;
+const GROUPS = 16;
 /** The group whose holder steps roll-outs and writes snapshots. */
 export const CONTROL_GROUP = 'control';
 /** Allowance for clocks and calls in the wait of a new steward. */
--- a/packages/lifecycle/src/process.ts
+++ b/packages/lifecycle/src/process.ts
@@ -77,30 +77,3 @@
   });
   return channel;
 }
-
-/**
- * Drains a channel, handling one item at a time, until the channel is closed.
- */
-export function consume<T>(
-  channel: csp.Channel<T>,
-  handle: (item: T) => Promise<void>,
-  onError: (error: unknown) => void,
-): Process {
-  const done = new Promise<void>(resolve => {
-    csp.go(function* () {
-      for (;;) {
-        const item: T | null = yield csp.take(channel);
-        if (item === csp.CLOSED) break;
-        const outcome: Settled<void> = yield csp.take(settle(handle(item)));
-        if (outcome.error !== undefined) onError(outcome.error);
-      }
-      resolve();
-    });
-  });
-  return {
-    end() {
-      channel.close();
-      return done;
-    },
-  };
-}
