--- /dev/null
+++ b/apps/router/src/entry/attempt.ts
@@ -0,0 +1,128 @@
+/** One send of a request to one upstream. */
+import {
+  readAnswer,
+  writeRequest,
+  type UpstreamAnswer,
+  type UpstreamRequest,
+} from '@parsleyarch/platform/headers';
+import * as http from 'node:http';
+import type {EntryNode, UpstreamState} from './node.js';
+import type {Exchange} from './exchange.js';
+
+/** Longest wait for a connection to an upstream, milliseconds. */
+const CONNECT_MS = 400;
+/** Largest body of an answer that is held back until it is whole, bytes. */
+export const MAX_HELD_BYTES = 4 << 20;
+
+/** How a send ended, or that an answer has begun. */
+export type Outcome =
+  /** Nothing of the request has left this node. */
+  | {readonly kind: 'unsent'; readonly reason: string}
+  /** The upstream states that the request did not run. */
+  | {readonly kind: 'refused'; readonly answer: UpstreamAnswer}
+  /** The request may have run, and no usable answer came. */
+  | {readonly kind: 'lost'; readonly reason: string}
+  /** The header of an answer has come. */
+  | {
+      readonly kind: 'answer';
+      readonly answer: UpstreamAnswer;
+      readonly body: http.IncomingMessage;
+    };
+
+/** A send that runs. */
+export interface Attempt {
+  readonly upstream: UpstreamState;
+  readonly startedAt: number;
+  readonly outcome: Promise<Outcome>;
+  /** Ends the send and, with the connection, the upstream's work. */
+  cancel(reason: string): void;
+}
+
+function headersOf(exchange: Exchange, request: UpstreamRequest): string[] {
+  const headers = writeRequest(exchange.caller.forwarded, request);
+  const {body} = exchange;
+  if (body.length > 0 || exchange.hasBody)
+    headers.push('content-length', String(body.length));
+  headers.push('connection', 'close');
+  return headers;
+}
+
+/** Why an answer is not the upstream's answer to this request. */
+function findFault(
+  answer: UpstreamAnswer,
+  exchange: Exchange,
+): string | undefined {
+  const {attemptId} = exchange.caller;
+  if (answer.attemptId !== undefined && answer.attemptId !== attemptId)
+    return 'answer to another request';
+  if (answer.encoded) return 'encoded body';
+  const success = answer.status >= 200 && answer.status < 300;
+  if (success && (!answer.sealed || answer.attemptId === undefined))
+    return 'success without a seal';
+  return undefined;
+}
+
+function judge(exchange: Exchange, response: http.IncomingMessage): Outcome {
+  const answer = readAnswer(response.statusCode ?? 0, response.rawHeaders);
+  if (answer.notRun) {
+    response.resume();
+    return {kind: 'refused', answer};
+  }
+  const fault = findFault(answer, exchange);
+  if (!fault) return {kind: 'answer', answer, body: response};
+  response.destroy();
+  return {kind: 'lost', reason: fault};
+}
+
+/** Sends a request on a connection of its own. */
+export function startAttempt(
+  node: EntryNode,
+  exchange: Exchange,
+  upstream: UpstreamState,
+  request: UpstreamRequest,
+): Attempt {
+  const [host, port] = upstream.registered.address.split(':');
+  const sent = http.request({
+    host,
+    port: Number(port),
+    method: exchange.method,
+    path: exchange.target,
+    agent: node.agent,
+    headers: headersOf(exchange, request),
+    setHost: false,
+  });
+  let connected = false;
+  let cause = '';
+  upstream.inFlight += 1;
+  const outcome = new Promise<Outcome>(resolve => {
+    const connecting = setTimeout(
+      () => cancel('no connection in time'),
+      CONNECT_MS,
+    );
+    const fail = (error?: Error) => {
+      const reason = cause || error?.message || 'closed';
+      resolve(
+        connected ? {kind: 'lost', reason} : {kind: 'unsent', reason},
+      );
+    };
+    sent.once('socket', socket => {
+      socket.once('connect', () => {
+        connected = true;
+        clearTimeout(connecting);
+      });
+    });
+    sent.on('response', response => resolve(judge(exchange, response)));
+    sent.on('error', fail);
+    sent.on('close', () => {
+      clearTimeout(connecting);
+      upstream.inFlight -= 1;
+      fail();
+    });
+  });
+  function cancel(reason: string): void {
+    cause = cause || reason;
+    sent.destroy();
+  }
+  sent.end(exchange.body);
+  return {upstream, startedAt: node.clock(), outcome, cancel};
+}
--- /dev/null
+++ b/apps/router/src/entry/directory.ts
@@ -0,0 +1,193 @@
+/** Applies changes of the store to what the node believes. */
+import {
+  decodeConfiguration,
+  decodeRollout,
+  decodeUpstream,
+} from '@parsleyarch/platform/decode';
+import {KEY} from '@parsleyarch/platform/names';
+import {indexRoutes} from '@parsleyarch/policy/routes';
+import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
+import type {StoredItem} from '@parsleyarch/store/keyspace';
+import type {Follower} from './follow.js';
+import type {EntryNode, UpstreamState} from './node.js';
+
+/** Longest age of a confirmation of the configuration, milliseconds. */
+const CONFIRM_MS = 1_000;
+/** Longest wait of the other watches, milliseconds. */
+const WATCH_MS = 20_000;
+/** Time in which entries that lapsed during an outage come back, milliseconds. */
+const RETURN_GRACE_MS = 2_000;
+/** Allowance on a told cold time for the way of the report, milliseconds. */
+const COLD_MARGIN_MS = 500;
+
+function applyConfiguration(node: EntryNode, item: StoredItem): void {
+  const table = item.value && decodeConfiguration(item.value);
+  if (!table) {
+    node.log.error({revision: item.revision}, 'configuration unreadable');
+    return;
+  }
+  const from = node.routes?.table.version;
+  if (from === table.version) return;
+  node.routes = indexRoutes(table);
+  node.metrics.configuration.set(table.version);
+  node.onTable(table);
+  node.log.info(
+    {from, to: table.version, revision: item.revision},
+    'configuration in force',
+  );
+}
+
+function applyRollout(node: EntryNode, item: StoredItem): void {
+  const service = item.key.slice(KEY.rollouts.length);
+  if (!item.value) {
+    if (node.orders.delete(service))
+      node.log.info({service}, 'roll-out order withdrawn');
+    return;
+  }
+  const order = decodeRollout(item.value);
+  if (!order) {
+    node.log.error({key: item.key}, 'roll-out order unreadable');
+    return;
+  }
+  const {revision} = item;
+  if (node.orders.get(order.service)?.revision === revision) return;
+  node.orders.set(order.service, {...order, revision, seenAt: node.clock()});
+  node.log.info({...order, revision}, 'roll-out ordered');
+}
+
+function applyEvacuation(node: EntryNode, item: StoredItem): void {
+  const domain = item.key.slice(KEY.evacuations.length);
+  if (item.value) {
+    if (!node.evacuated.has(domain))
+      node.log.info({domain, revision: item.revision}, 'domain taken out');
+    node.evacuated.add(domain);
+    return;
+  }
+  if (!node.evacuated.delete(domain)) return;
+  node.log.info({domain, revision: item.revision}, 'domain taken back');
+  // Upstreams of a domain that was out are cold, whatever they last told.
+  for (const state of node.upstreams.values()) {
+    if (state.registered.failureDomain === domain) markCold(node, state, 0);
+  }
+}
+
+/** Treats an upstream as cold for at least the time its service declares. */
+export function markCold(
+  node: EntryNode,
+  state: UpstreamState,
+  leftMs: number,
+): void {
+  const service = node.routes?.table.services.get(state.registered.service);
+  const coldMs = leftMs || (service?.coldMs ?? 0);
+  if (coldMs === 0) return;
+  const until = node.clock() + coldMs + COLD_MARGIN_MS;
+  state.coldUntil = Math.max(state.coldUntil, until);
+}
+
+function applyOrder(node: EntryNode, item: StoredItem): void {
+  if (item.key === KEY.configuration) applyConfiguration(node, item);
+  else if (item.key.startsWith(KEY.rollouts)) applyRollout(node, item);
+  else if (item.key.startsWith(KEY.evacuations)) applyEvacuation(node, item);
+}
+
+/** Follows what operators write. */
+export function orderFollower(node: EntryNode): Follower {
+  return {
+    name: 'orders',
+    prefix: KEY.orders,
+    waitMs: CONFIRM_MS,
+    reset(items) {
+      const keys = new Set(items.map(({key}) => key));
+      for (const domain of [...node.evacuated]) {
+        const key = KEY.evacuations + domain;
+        if (!keys.has(key)) applyEvacuation(node, {key, revision: 0});
+      }
+      for (const service of [...node.orders.keys()]) {
+        const key = KEY.rollouts + service;
+        if (!keys.has(key)) applyRollout(node, {key, revision: 0});
+      }
+      for (const item of items) applyOrder(node, item);
+    },
+    change: item => applyOrder(node, item),
+    confirmed(sentAt) {
+      node.confirmed = sentAt;
+    },
+  };
+}
+
+function addUpstream(node: EntryNode, registered: RegisteredUpstream): void {
+  const known = node.upstreams.get(registered.id);
+  const state: UpstreamState = known ?? {
+    registered,
+    coldUntil: 0,
+    inFlight: 0,
+    sentSinceReport: 0,
+    failures: [],
+    sends: [],
+    lastAnswerAt: 0,
+    parts: new Map(),
+  };
+  const reborn =
+    known !== undefined &&
+    known.registered.incarnation !== registered.incarnation;
+  if (reborn) {
+    state.failures = [];
+    state.load = undefined;
+  }
+  state.registered = registered;
+  state.missingSince = undefined;
+  node.upstreams.set(registered.id, state);
+  if (registered.coldMs > 0) markCold(node, state, registered.coldMs);
+  else if (reborn || (!known && node.serving)) markCold(node, state, 0);
+  if (known && !reborn && registered.draining === known.registered.draining)
+    return;
+  const {id, service, version, failureDomain, draining, coldMs} = registered;
+  node.log.info(
+    {upstream: id, service, version, failureDomain, draining, coldMs, reborn},
+    'upstream registered',
+  );
+}
+
+function removeUpstream(node: EntryNode, id: string): void {
+  const state = node.upstreams.get(id);
+  if (!state) return;
+  const now = node.clock();
+  const returned = node.storeReturnedAt ?? -Infinity;
+  const graceLeft = returned + RETURN_GRACE_MS - now;
+  if (graceLeft > 0 && state.missingSince === undefined) {
+    // Its entry may have lapsed only because the store was away.
+    state.missingSince = now;
+    setTimeout(() => {
+      if (state.missingSince !== undefined) removeUpstream(node, id);
+    }, graceLeft).unref();
+    return;
+  }
+  node.upstreams.delete(id);
+  node.log.info({upstream: id}, 'upstream gone');
+}
+
+function applyUpstream(node: EntryNode, item: StoredItem): void {
+  const id = item.key.slice(KEY.upstreams.length);
+  if (!item.value) return removeUpstream(node, id);
+  const registered = decodeUpstream(id, item.value);
+  if (registered) return addUpstream(node, registered);
+  node.log.warn({key: item.key}, 'upstream entry unreadable');
+  node.upstreams.delete(id);
+}
+
+/** Follows the upstreams that register themselves. */
+export function upstreamFollower(node: EntryNode): Follower {
+  return {
+    name: 'upstreams',
+    prefix: KEY.upstreams,
+    waitMs: WATCH_MS,
+    reset(items) {
+      const keys = new Set(items.map(({key}) => key));
+      for (const id of [...node.upstreams.keys()]) {
+        if (!keys.has(KEY.upstreams + id)) removeUpstream(node, id);
+      }
+      for (const item of items) applyUpstream(node, item);
+    },
+    change: item => applyUpstream(node, item),
+  };
+}
--- /dev/null
+++ b/apps/router/src/entry/follow.ts
@@ -0,0 +1,116 @@
+/**
+ * Follows prefixes of the store: a full read first, then watches in revision
+ * order, and a full read again when the history is gone.
+ */
+import {repeat, wait} from '@parsleyarch/lifecycle/process';
+import {own} from '@parsleyarch/lifecycle/manager';
+import {
+  readAll,
+  watchChanges,
+  type StoredItem,
+} from '@parsleyarch/store/keyspace';
+import type {EntryNode} from './node.js';
+
+/** Pause after a failed call, milliseconds. */
+const RETRY_MS = 250;
+/** Pause between watches, so that changes in a row share one call. */
+const GATHER_MS = 60;
+
+/** What is done with the changes of a prefix. */
+export interface Follower {
+  readonly name: string;
+  readonly prefix: string;
+  /** Longest wait of one watch, milliseconds. */
+  readonly waitMs: number;
+  /** Takes all items of the prefix in place of what was known. */
+  reset(items: readonly StoredItem[]): void;
+  /** Takes one change. */
+  change(item: StoredItem): void;
+  /** Is told that all changes up to a moment are known. */
+  confirmed?(sentAt: {monotonic: number; uptimeSeconds: number}): void;
+}
+
+interface Following {
+  readonly follower: Follower;
+  /** Revision up to which changes are known; absent: read all first. */
+  revision?: number;
+  reachable: boolean;
+}
+
+function noteReach(
+  node: EntryNode,
+  following: Following,
+  reached: boolean,
+  reason = '',
+): void {
+  if (following.reachable === reached) return;
+  following.reachable = reached;
+  const {name} = following.follower;
+  if (reached) {
+    node.storeReturnedAt = node.clock();
+    node.log.info({source: name}, 'store regained');
+  } else {
+    node.log.warn({source: name, reason}, 'store lost');
+  }
+}
+
+async function readPrefix(node: EntryNode, following: Following) {
+  const {follower} = following;
+  const sentAt = node.readClocks();
+  const all = await readAll(node.keyspace, follower.prefix);
+  noteReach(node, following, all.isOk(), all.isErr() ? all.error.message : '');
+  if (all.isErr()) return wait(RETRY_MS);
+  following.revision = all.value.revision;
+  follower.reset(all.value.items);
+  follower.confirmed?.(sentAt);
+}
+
+async function watchPrefix(
+  node: EntryNode,
+  following: Following,
+  revision: number,
+) {
+  const {follower} = following;
+  const sentAt = node.readClocks();
+  const changes = await watchChanges(
+    node.keyspace,
+    follower.prefix,
+    revision,
+    follower.waitMs,
+  );
+  noteReach(
+    node,
+    following,
+    changes.isOk(),
+    changes.isErr() ? changes.error.message : '',
+  );
+  if (changes.isErr()) return wait(RETRY_MS);
+  if (!changes.value) {
+    node.log.warn({source: follower.name, revision}, 'history gone');
+    following.revision = undefined;
+    return;
+  }
+  for (const item of changes.value.items) {
+    if (item.revision > revision) follower.change(item);
+  }
+  following.revision = Math.max(revision, changes.value.revision);
+  follower.confirmed?.(sentAt);
+}
+
+/** Follows a prefix until the node stops; resolves after the first full read. */
+export function follow(node: EntryNode, follower: Follower): Promise<void> {
+  const following: Following = {follower, reachable: true};
+  return new Promise(resolve => {
+    const step = async () => {
+      if (following.revision === undefined) {
+        await readPrefix(node, following);
+        if (following.revision !== undefined) resolve();
+      } else await watchPrefix(node, following, following.revision);
+    };
+    const running = repeat(GATHER_MS, step, error =>
+      node.log.error({source: follower.name, error: String(error)}, 'failed'),
+    );
+    // A pending watch ends when the client's connections are closed.
+    own(node.manager, `follow-${follower.name}`, () => void running.end());
+  });
+}
--- /dev/null
+++ b/apps/router/src/entry/metrics.ts
@@ -0,0 +1,67 @@
+/** Counters and histograms of an entry node. */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Every metric that an entry node exposes. */
+export interface EntryMetrics {
+  readonly registry: Registry;
+  readonly answers: Counter<'route' | 'status'>;
+  readonly attempts: Counter<'service' | 'outcome'>;
+  readonly firstByte: Histogram<'route'>;
+  readonly models: Counter<'model' | 'use'>;
+  readonly inFlight: Gauge;
+  readonly configuration: Gauge;
+  readonly droppedLines: Counter;
+}
+
+const FIRST_BYTE_BUCKETS_SECONDS = [
+  0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 3, 5, 10,
+];
+
+/** Creates the metrics of a node in a registry of their own. */
+export function createEntryMetrics(): EntryMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    answers: new Counter({
+      name: 'parsleyarch_entry_answers_total',
+      help: 'Answers to callers by route and status; 0 is a closed connection',
+      labelNames: ['route', 'status'],
+      registers,
+    }),
+    attempts: new Counter({
+      name: 'parsleyarch_entry_attempts_total',
+      help: 'Sends to upstreams by service and outcome',
+      labelNames: ['service', 'outcome'],
+      registers,
+    }),
+    firstByte: new Histogram({
+      name: 'parsleyarch_entry_first_byte_seconds',
+      help: 'Time from a request to the first byte of its answer, by route',
+      labelNames: ['route'],
+      buckets: FIRST_BYTE_BUCKETS_SECONDS,
+      registers,
+    }),
+    models: new Counter({
+      name: 'parsleyarch_entry_models_total',
+      help: 'Answers of models by whether they were passed on or dropped',
+      labelNames: ['model', 'use'],
+      registers,
+    }),
+    inFlight: new Gauge({
+      name: 'parsleyarch_entry_in_flight',
+      help: 'Requests now being served',
+      registers,
+    }),
+    configuration: new Gauge({
+      name: 'parsleyarch_entry_configuration_version',
+      help: 'Version of the configuration in force',
+      registers,
+    }),
+    droppedLines: new Counter({
+      name: 'parsleyarch_entry_dropped_lines_total',
+      help: 'Log lines dropped by the rate limit',
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/apps/router/src/entry/node.ts
@@ -0,0 +1,134 @@
+/** The state of one entry node, passed to everything that serves a request. */
+import type {Failure} from '@parsleyarch/errors/failure';
+import {createManager, type Manager} from '@parsleyarch/lifecycle/manager';
+import {PLATFORM_STORE} from '@parsleyarch/platform/store';
+import type {ReportedLoad} from '@parsleyarch/platform/headers';
+import type {RouteIndex} from '@parsleyarch/policy/routes';
+import type {RetryWindow} from '@parsleyarch/policy/retry-window';
+import type {
+  RegisteredUpstream,
+  RolloutOrder,
+  RoutingTable,
+} from '@parsleyarch/resource/routing';
+import {openKeyspace, type Keyspace} from '@parsleyarch/store/keyspace';
+import {createLog, type Log} from '@parsleyarch/telemetry/log';
+import {randomUUID} from 'node:crypto';
+import * as http from 'node:http';
+import {uptime} from 'node:os';
+import {createEntryMetrics, type EntryMetrics} from './metrics.js';
+import {createNotes} from './notes.js';
+import type {EntrySettings} from './settings.js';
+
+/** What the node knows of one upstream. */
+export interface UpstreamState {
+  registered: RegisteredUpstream;
+  /** Until when it is to be treated as cold; monotonic milliseconds. */
+  coldUntil: number;
+  /** Requests of this node that run there. */
+  inFlight: number;
+  /** Load that it reported last, and when. */
+  load?: ReportedLoad & {readonly at: number};
+  /** Sends of this node since that report. */
+  sentSinceReport: number;
+  /** Times of recent failures, oldest first. */
+  failures: number[];
+  /** Times of recent sends, oldest first; kept for the cold limit. */
+  sends: number[];
+  lastAnswerAt: number;
+  /** Prompt parts sent to it, by model and the parts before, and when. */
+  readonly parts: Map<string, number>;
+  /** When its entry went while the store was away; absent: it is there. */
+  missingSince?: number;
+}
+
+/** An order and the revision that identifies it. */
+export interface KnownOrder extends RolloutOrder {
+  readonly revision: number;
+  /** When this node learnt of it; monotonic milliseconds. */
+  readonly seenAt: number;
+}
+
+/** Everything that one node knows and owns. */
+export interface EntryNode {
+  readonly settings: EntrySettings;
+  readonly incarnation: string;
+  readonly log: Log;
+  readonly metrics: EntryMetrics;
+  readonly manager: Manager;
+  readonly keyspace: Keyspace;
+  /** Connections to upstreams. */
+  readonly agent: http.Agent;
+  /** Monotonic milliseconds. */
+  readonly clock: () => number;
+  readonly random: () => number;
+  /** Configuration in force; absent until the first one is read. */
+  routes?: RouteIndex;
+  readonly upstreams: Map<string, UpstreamState>;
+  /** Failure domains that operators have taken out. */
+  readonly evacuated: Set<string>;
+  readonly orders: Map<string, KnownOrder>;
+  readonly retries: Map<string, RetryWindow>;
+  /** Names of the nodes that are registered. */
+  readonly members: Map<string, string>;
+  /** Most nodes that were registered at one time. */
+  mostMembers: number;
+  /** Confirmation that the configuration is current; see `freshness.ts`. */
+  confirmed?: {readonly monotonic: number; readonly uptimeSeconds: number};
+  /** When the store was reached again after it had been lost. */
+  storeReturnedAt?: number;
+  /** Writes a decision line, unless the rate limit drops it. */
+  readonly note: (decision: string, fields: Record<string, unknown>) => void;
+  /** Called with each configuration that comes into force. */
+  onTable: (table: RoutingTable) => void;
+  readonly readClocks: () => {monotonic: number; uptimeSeconds: number};
+  /** Whether callers are being served. */
+  serving: boolean;
+  stopping: boolean;
+  /** Whether new requests are refused, as the node stops. */
+  refusing: boolean;
+  active: number;
+}
+
+/** A request that ends with an error. */
+export type Refusal = Failure;
+
+/** Creates a node that has not started. */
+export function createEntryNode(settings: EntrySettings): EntryNode {
+  const log = createLog(settings.logLevel, settings.node);
+  const manager = createManager((name, error) => {
+    if (error === undefined) log.info({part: name}, 'stopped');
+    else log.error({part: name, error: String(error)}, 'failed to stop');
+  });
+  const metrics = createEntryMetrics();
+  return {
+    settings,
+    incarnation: randomUUID(),
+    log,
+    metrics,
+    note: createNotes(log, metrics.droppedLines),
+    manager,
+    keyspace: openKeyspace(
+      settings.store.address,
+      PLATFORM_STORE,
+      settings.store.timeoutMs,
+    ),
+    agent: new http.Agent({keepAlive: false, maxSockets: Infinity}),
+    clock: () => performance.now(),
+    random: Math.random,
+    upstreams: new Map(),
+    evacuated: new Set(),
+    orders: new Map(),
+    retries: new Map(),
+    members: new Map(),
+    mostMembers: 1,
+    onTable: () => {},
+    readClocks: () => ({
+      monotonic: performance.now(),
+      uptimeSeconds: uptime(),
+    }),
+    serving: false,
+    stopping: false,
+    refusing: false,
+    active: 0,
+  };
+}
--- /dev/null
+++ b/apps/router/src/entry/reply.ts
@@ -0,0 +1,77 @@
+/** The router's own answers, and the record of every answer. */
+import {ANSWERS, type Failure} from '@parsleyarch/errors/failure';
+import type {ServerResponse} from 'node:http';
+import type {Exchange} from './exchange.js';
+import type {EntryNode} from './node.js';
+
+const MS_PER_SECOND = 1_000;
+/** Kinds after which the connection is not read on. */
+const CLOSING_KINDS: ReadonlySet<string> = new Set([
+  'body-too-large',
+  'header-too-large',
+  'invalid-request',
+  'invalid-header',
+]);
+
+/** Writes the answer that the table gives for a failure. */
+export function writeFailure(
+  node: EntryNode,
+  response: ServerResponse,
+  problem: Failure,
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const {status} = ANSWERS[problem.kind];
+  const {kind, message, run, retryAfterMs} = problem;
+  const text = JSON.stringify({error: {kind, message, run, retryAfterMs}});
+  const headers: Record<string, string | number> = {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  };
+  if (retryAfterMs !== undefined)
+    headers['retry-after'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
+  if (node.stopping || CLOSING_KINDS.has(kind)) headers['connection'] = 'close';
+  response.writeHead(status, headers);
+  response.end(text);
+}
+
+/** Notes how a request ended. */
+export function noteEnd(
+  node: EntryNode,
+  exchange: Exchange,
+  status: number,
+  reason: string,
+): void {
+  const {route, caller, service, sends, runs, startedAt} = exchange;
+  node.metrics.answers.inc({route: route.name, status: String(status)});
+  node.note('answer', {
+    requestId: caller.attemptId,
+    route: route.name,
+    customer: exchange.customer?.name,
+    service,
+    configuration: node.routes?.table.version,
+    status,
+    reason,
+    sends,
+    runs,
+    tookMs: Math.round(node.clock() - startedAt),
+  });
+}
+
+/** Ends a request with a failure; a begun answer is cut instead. */
+export function endWithFailure(
+  node: EntryNode,
+  exchange: Exchange,
+  problem: Failure,
+): void {
+  if (exchange.ended) return;
+  exchange.ended = true;
+  const {response} = exchange;
+  if (response.headersSent) {
+    noteEnd(node, exchange, 0, `${problem.kind}: ${problem.message}`);
+    response.destroy();
+    return;
+  }
+  const {status} = ANSWERS[problem.kind];
+  noteEnd(node, exchange, status, `${problem.kind}: ${problem.message}`);
+  writeFailure(node, response, problem);
+}
--- /dev/null
+++ b/apps/router/src/entry/selection.ts
@@ -0,0 +1,169 @@
+/** Chooses the upstream of the next send from what the node knows. */
+import type {PromptPart} from '@parsleyarch/platform/headers';
+import {
+  chooseCandidate,
+  coldAllowance,
+  type ChoiceWeights,
+  type UpstreamCandidate,
+} from '@parsleyarch/policy/upstream-choice';
+import type {PooledService} from '@parsleyarch/resource/routing';
+import type {Exchange} from './exchange.js';
+import type {EntryNode, UpstreamState} from './node.js';
+import {allowsVersion} from './versions.js';
+
+/** Time for which a failure of an upstream counts, milliseconds. */
+const FAILURE_MEMORY_MS = 4_000;
+/** Age after which a reported load no longer says anything, milliseconds. */
+const LOAD_MEMORY_MS = 3_000;
+/** Time for which a sent prompt part is taken to be cached, milliseconds. */
+const PART_MEMORY_MS = 10_000;
+/** Share of the cold limit that is used, as nodes may be unknown. */
+const COLD_SHARE = 0.8;
+
+const ENGINE_WEIGHTS: ChoiceWeights = {
+  otherDomain: 4,
+  reading: 0.4,
+  failure: 12,
+};
+const SERVICE_WEIGHTS: ChoiceWeights = {
+  otherDomain: 2,
+  reading: 0,
+  failure: 8,
+};
+
+function dropOlder(times: number[], oldest: number): void {
+  while (times.length > 0 && times[0] < oldest) times.shift();
+}
+
+function isColdFull(
+  node: EntryNode,
+  service: PooledService | undefined,
+  state: UpstreamState,
+): boolean {
+  const now = node.clock();
+  if (!service || service.coldPerSecond === 0 || now >= state.coldUntil)
+    return false;
+  const {over, slack} = node.settings.cold;
+  const bound = (service.coldPerSecond * over + slack) * COLD_SHARE;
+  const {sends, windowMs} = coldAllowance(bound, node.mostMembers);
+  let recent = 0;
+  for (const at of state.sends) {
+    if (at > now - windowMs) recent += 1;
+  }
+  return recent >= sends;
+}
+
+function estimateLoad(node: EntryNode, state: UpstreamState): number {
+  const {load} = state;
+  if (!load || node.clock() - load.at > LOAD_MEMORY_MS) return state.inFlight;
+  const reported = load.running + load.waiting + state.sentSinceReport;
+  return Math.max(state.inFlight, reported);
+}
+
+/** A part is cached only after the parts before it, for the same model. */
+function partKeys(model: string, parts: readonly PromptPart[]): string[] {
+  const keys: string[] = [];
+  let key = model;
+  for (const {id} of parts) keys.push((key = `${key}/${id}`));
+  return keys;
+}
+
+function unreadTokens(
+  node: EntryNode,
+  state: UpstreamState,
+  exchange: Exchange,
+  keys: readonly string[],
+): number {
+  const {parts, promptTokens} = exchange.caller;
+  const oldest = node.clock() - PART_MEMORY_MS;
+  let cached = 0;
+  for (const [index, key] of keys.entries()) {
+    if ((state.parts.get(key) ?? -Infinity) < oldest) break;
+    cached += parts[index].tokens;
+  }
+  return Math.max(0, promptTokens - cached);
+}
+
+/** Why an upstream cannot be used for a request; absent: it can be. */
+function findObstacle(
+  node: EntryNode,
+  exchange: Exchange,
+  state: UpstreamState,
+): string | undefined {
+  const {registered} = state;
+  if (registered.service !== exchange.service) return 'other service';
+  if (registered.draining) return 'draining';
+  if (node.evacuated.has(registered.failureDomain)) return 'domain out';
+  if (exchange.tried.has(registered.id)) return 'tried';
+  if (!allowsVersion(node, exchange, registered.version)) return 'version';
+  return undefined;
+}
+
+/** Chooses an upstream; `undefined` when none may or can take the request. */
+export function selectUpstream(
+  node: EntryNode,
+  exchange: Exchange,
+  model = '',
+): UpstreamState | undefined {
+  const service = node.routes?.table.services.get(exchange.service);
+  const keys = partKeys(model, exchange.caller.parts);
+  const now = node.clock();
+  const candidates: UpstreamCandidate[] = [];
+  for (const state of node.upstreams.values()) {
+    if (findObstacle(node, exchange, state)) continue;
+    dropOlder(state.failures, now - FAILURE_MEMORY_MS);
+    candidates.push({
+      id: state.registered.id,
+      sameDomain:
+        state.registered.failureDomain === node.settings.failureDomain,
+      load: estimateLoad(node, state),
+      slots: state.registered.slots,
+      failures: state.failures.length,
+      coldFull: isColdFull(node, service, state),
+      unreadTokens: unreadTokens(node, state, exchange, keys),
+    });
+  }
+  const weights = service?.isEngine ? ENGINE_WEIGHTS : SERVICE_WEIGHTS;
+  const choice = chooseCandidate(candidates, weights, node.random);
+  const chosen = choice && node.upstreams.get(choice.id);
+  node.note('select', {
+    requestId: exchange.caller.attemptId,
+    candidates: candidates.length,
+    choice: choice?.id,
+    cost: choice && Math.round(choice.cost * 10) / 10,
+    coldFull: candidates.filter(({coldFull}) => coldFull).length,
+    model,
+  });
+  return chosen;
+}
+
+/** Time over which sends are kept for the cold limit, milliseconds. */
+const SENDS_MEMORY_MS = 10_000;
+const MAX_PARTS = 2_000;
+
+/** Notes a send for the cold limit, the load and the prompt cache. */
+export function noteSend(
+  node: EntryNode,
+  state: UpstreamState,
+  exchange: Exchange,
+  model = '',
+): void {
+  const now = node.clock();
+  dropOlder(state.sends, now - SENDS_MEMORY_MS);
+  state.sends.push(now);
+  state.sentSinceReport += 1;
+  for (const key of partKeys(model, exchange.caller.parts)) {
+    // Insertion order is order of use, so that the oldest go first.
+    state.parts.delete(key);
+    state.parts.set(key, now);
+  }
+  for (const key of state.parts.keys()) {
+    if (state.parts.size <= MAX_PARTS) break;
+    state.parts.delete(key);
+  }
+}
+
+/** Notes that an upstream failed a request. */
+export function noteFailure(node: EntryNode, state: UpstreamState): void {
+  state.failures.push(node.clock());
+}
--- a/apps/router/src/main.ts
+++ b/apps/router/src/main.ts
@@ -3,6 +3,8 @@
 import yargs, {type Argv} from 'yargs';
 import * as commands from './cli/commands.js';
 import {fail, type OutputForm} from './cli/output.js';
+import {createEntry} from './entry/serve.js';
+import {loadEntrySettings} from './entry/settings.js';
 import {startNode} from './serve.js';
 import {loadSettings} from './settings.js';
 
@@ -23,6 +25,18 @@
   process.once('SIGINT', stop);
 }
 
+async function route(file: string): Promise<void> {
+  const settings = loadEntrySettings(file);
+  if (settings.isErr()) return fail(settings.error);
+  const entry = createEntry(settings.value);
+  const {log} = entry.node;
+  process.once('SIGTERM', () => {
+    void entry.stop().then(() => log.flush(() => process.exit(0)));
+  });
+  process.on('SIGHUP', () => log.info('settings are read at the next start'));
+  await entry.start();
+}
+
 interface RemoteArguments {
   server: string;
   key?: string;
@@ -202,6 +216,20 @@
           .example('$0 serve -s node.jsonc', 'run until SIGTERM'),
       argv => serve(argv.settings),
     )
+    .command(
+      'route',
+      "run an entry node on the platform's declarations",
+      y =>
+        y
+          .option('settings', {
+            alias: 's',
+            type: 'string',
+            demandOption: true,
+            describe: 'settings file, JSON with comments',
+          })
+          .example('$0 route -s entry.jsonc', 'run until SIGTERM'),
+      argv => route(argv.settings),
+    )
     .command(
       'validate',
       'check declarations without asking a node',
--- a/apps/router/src/settings.ts
+++ b/apps/router/src/settings.ts
@@ -73,6 +73,15 @@
   text: string,
   file: string,
 ): Result<Settings, Failure> {
+  return checkSettings(Settings, text, file);
+}
+
+/** Checks a settings text against a schema. */
+export function checkSettings<T>(
+  schema: z.ZodType<T>,
+  text: string,
+  file: string,
+): Result<T, Failure> {
   const errors: ParseError[] = [];
   const input: unknown = parse(text, errors, {allowTrailingComma: true});
   if (errors.length > 0) {
@@ -82,7 +91,7 @@
     );
     return err(failure('invalid-json', problems.join('\n')));
   }
-  const parsed = Settings.safeParse(input);
+  const parsed = schema.safeParse(input);
   if (parsed.success) return ok(parsed.data);
   const tree = parseTree(text, [], {allowTrailingComma: true});
   const problems = parsed.error.issues.map(({path, message}) => {
@@ -97,8 +106,16 @@
 
 /** Reads and checks a settings file. */
 export function loadSettings(file: string): Result<Settings, Failure> {
+  return readSettings(Settings, file);
+}
+
+/** Reads a settings file and checks it against a schema. */
+export function readSettings<T>(
+  schema: z.ZodType<T>,
+  file: string,
+): Result<T, Failure> {
   try {
-    return parseSettings(readFileSync(file, 'utf8'), file);
+    return checkSettings(schema, readFileSync(file, 'utf8'), file);
   } catch (thrown) {
     return err(failure('not-found', `${file}: ${messageOf(thrown)}`));
   }
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,6 +11,7 @@
   'packages/peer': ['errors', 'protocol'],
   'packages/lifecycle': ['errors'],
   'packages/telemetry': [],
+  platform: ['errors', 'resource', 'store'],
   'apps/standins': ['resource', 'policy', 'protocol'],
 };
 
@@ -24,6 +25,7 @@
   'peer',
   'lifecycle',
   'telemetry',
+  'platform',
   'router',
   'standins',
 ];
--- a/packages/errors/src/failure.ts
+++ b/packages/errors/src/failure.ts
@@ -33,6 +33,7 @@
   'invalid-request': refusal(400),
   'invalid-header': refusal(400),
   'body-too-large': refusal(413),
+  'header-too-large': refusal(431),
   'request-timeout': refusal(408, true),
   unauthenticated: refusal(401),
   forbidden: refusal(403),
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -8,6 +8,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {spend, type Budget} from './budget.js';
+import {sendCall} from './http.js';
 
 const StoredItem = z.object({
   key: z.string(),
@@ -48,11 +49,6 @@
   readonly timeoutMs: number;
 }
 
-interface Reply {
-  readonly status: number;
-  readonly body: unknown;
-}
-
 /** Opens a client; nothing is sent until the first call. */
 export function openStore(
   address: string,
@@ -68,55 +64,6 @@
   store.agent.destroy();
 }
 
-function send(
-  store: Store,
-  method: string,
-  path: string,
-  body: unknown,
-  headers: http.OutgoingHttpHeaders,
-  timeoutMs: number,
-): Promise<Reply> {
-  return new Promise((resolve, reject) => {
-    const payload = body === undefined ? undefined : JSON.stringify(body);
-    const request = http.request(
-      new URL(path, store.address),
-      {
-        method,
-        agent: store.agent,
-        headers: {
-          ...headers,
-          ...(payload && {
-            'content-type': 'application/json',
-            'content-length': Buffer.byteLength(payload),
-          }),
-        },
-      },
-      response => {
-        const chunks: Buffer[] = [];
-        response.on('data', chunk => chunks.push(chunk));
-        response.on('error', reject);
-        response.on('close', () => reject(new Error('answer was cut')));
-        response.on('end', () => {
-          const text = Buffer.concat(chunks).toString('utf8');
-          try {
-            const parsed = text === '' ? undefined : JSON.parse(text);
-            resolve({status: response.statusCode ?? 0, body: parsed});
-          } catch (thrown) {
-            reject(thrown);
-          }
-        });
-      },
-    );
-    const timer = setTimeout(
-      () => request.destroy(new Error(`no answer in ${timeoutMs} ms`)),
-      timeoutMs,
-    );
-    request.on('close', () => clearTimeout(timer));
-    request.on('error', reject);
-    request.end(payload);
-  });
-}
-
 function unavailable(text: string): Failure {
   return failure('store-unavailable', text, {retryAfterMs: 1_000});
 }
@@ -131,7 +78,7 @@
     return err(unavailable('the read budget of this node is used up'));
   }
   try {
-    const reply = await send(store, 'GET', path, undefined, {}, timeoutMs);
+    const reply = await sendCall(store, {method: 'GET', path}, timeoutMs);
     if (reply.status === 404) return ok(undefined);
     if (reply.status !== 200)
       return err(unavailable(`the store answered ${reply.status}`));
@@ -202,14 +149,8 @@
   if (!spend(store.budget, 'write')) return {outcome: WriteOutcome.refused};
   const path = `/kv/${encodeURIComponent(key)}`;
   try {
-    const reply = await send(
-      store,
-      'PUT',
-      path,
-      {value},
-      condition,
-      store.timeoutMs,
-    );
+    const call = {method: 'PUT', path, body: {value}, headers: condition};
+    const reply = await sendCall(store, call, store.timeoutMs);
     if (reply.status === 200) {
       const written = Written.safeParse(reply.body);
       if (!written.success) return {outcome: WriteOutcome.lost};
--- /dev/null
+++ b/packages/store/src/http.ts
@@ -0,0 +1,77 @@
+/** One HTTP call with a JSON body and a time limit. */
+import * as http from 'node:http';
+
+/** A call to a store. */
+export interface StoreCall {
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  readonly body?: unknown;
+  readonly headers?: http.OutgoingHttpHeaders;
+}
+
+/** An answer; the body is parsed JSON. */
+export interface Reply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Where calls go. */
+export interface Endpoint {
+  readonly address: URL;
+  readonly agent: http.Agent;
+}
+
+function parseBody(chunks: readonly Buffer[]): unknown {
+  const text = Buffer.concat(chunks).toString('utf8');
+  return text === '' ? undefined : JSON.parse(text);
+}
+
+function headersOf(call: StoreCall, payload: string | undefined) {
+  if (payload === undefined) return {...call.headers};
+  return {
+    ...call.headers,
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(payload),
+  };
+}
+
+/**
+ * Sends a call and waits for the whole answer. Rejects without one; the call
+ * may then have taken effect.
+ */
+export function sendCall(
+  {address, agent}: Endpoint,
+  call: StoreCall,
+  timeoutMs: number,
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const payload =
+      call.body === undefined ? undefined : JSON.stringify(call.body);
+    const request = http.request(
+      new URL(call.path, address),
+      {method: call.method, agent, headers: headersOf(call, payload)},
+      response => {
+        const chunks: Buffer[] = [];
+        response.on('data', chunk => chunks.push(chunk));
+        response.on('error', reject);
+        response.on('close', () => reject(new Error('answer was cut')));
+        response.on('end', () => {
+          try {
+            const body = parseBody(chunks);
+            resolve({status: response.statusCode ?? 0, body});
+          } catch (thrown) {
+            reject(thrown);
+          }
+        });
+      },
+    );
+    const timer = setTimeout(
+      () => request.destroy(new Error(`no answer in ${timeoutMs} ms`)),
+      timeoutMs,
+    );
+    request.on('close', () => clearTimeout(timer));
+    request.on('error', reject);
+    request.end(payload);
+  });
+}
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,4 +1,5 @@
-// Bundles the two programs, router and stand-ins, into one CommonJS file each.
+// Bundles the programs, router and stand-ins, into one CommonJS file each.
+// node tools/bundle.mjs [folder [program]]
 import {build} from 'esbuild';
 
 const PROGRAMS = {
@@ -6,10 +7,13 @@
   standins: 'apps/standins/src/main.ts',
 };
 
+const [folder = 'build', only] = process.argv.slice(2);
+
 for (const [name, entry] of Object.entries(PROGRAMS)) {
+  if (only && name !== only) continue;
   await build({
     entryPoints: [entry],
-    outfile: `build/${name}.cjs`,
+    outfile: `${folder}/${name}.cjs`,
     bundle: true,
     platform: 'node',
     target: 'node20',
