Roll versions out by a holder with a lease in the store

One node holds the roll-outs by a lease; every write is conditional on the holder's key and the plan's revision. Nodes report counts by upstream to the holder over gRPC; new sessions only during the first half. Ruled out: evidence through the store (a write a node a second).

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -21,7 +21,12 @@
   /** The upstream states that the request did not run. */
   | {readonly kind: 'refused'; readonly answer: UpstreamAnswer}
   /** The request may have run, and no usable answer came. */
-  | {readonly kind: 'lost'; readonly reason: string}
+  | {
+      readonly kind: 'lost';
+      readonly reason: string;
+      /** Whether this node gave up waiting. */
+      readonly tooLate?: boolean;
+    }
   /** The header of an answer has come. */
   | {
       readonly kind: 'answer';
@@ -35,7 +40,7 @@
   readonly startedAt: number;
   readonly outcome: Promise<Outcome>;
   /** Ends the send and, with the connection, the upstream's work. */
-  cancel(reason: string): void;
+  cancel(reason: string, tooLate?: boolean): void;
 }
 
 function headersOf(exchange: Exchange, request: UpstreamRequest): string[] {
@@ -93,6 +98,7 @@
   });
   let connected = false;
   let cause = '';
+  let gaveUp = false;
   upstream.inFlight += 1;
   const outcome = new Promise<Outcome>(resolve => {
     const connecting = setTimeout(
@@ -102,7 +108,9 @@
     const fail = (error?: Error) => {
       const reason = cause || error?.message || 'closed';
       resolve(
-        connected ? {kind: 'lost', reason} : {kind: 'unsent', reason},
+        connected
+          ? {kind: 'lost', reason, tooLate: gaveUp}
+          : {kind: 'unsent', reason},
       );
     };
     sent.once('socket', socket => {
@@ -119,8 +127,9 @@
       fail();
     });
   });
-  function cancel(reason: string): void {
+  function cancel(reason: string, tooLate = false): void {
     cause = cause || reason;
+    gaveUp ||= tooLate;
     sent.destroy();
   }
   sent.end(exchange.body);
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -25,7 +25,7 @@
 import {collect, createCutter, writeBytes, writeHead} from './relay.js';
 import {endWithFailure, noteEnd} from './reply.js';
 import {noteFailure, noteSend, selectUpstream} from './selection.js';
-import {noteOutcome} from './versions.js';
+import {assignSide, endSession, noteOutcome} from './versions.js';
 
 /** Sends that an upstream may refuse without a run, beyond the attempts. */
 const MAX_REFUSED_SENDS = 3;
@@ -145,11 +145,11 @@
   if (movable) {
     const giveUpIfSilent = () => {
       if (attempt.upstream.lastAnswerAt < attempt.startedAt)
-        attempt.cancel('upstream is silent');
+        attempt.cancel('upstream is silent', true);
     };
     timers.push(setTimeout(giveUpIfSilent, objectiveMs * SILENT_SHARE));
     const slowMs = objectiveMs * SLOW_SHARE;
-    timers.push(setTimeout(() => attempt.cancel('no answer in time'), slowMs));
+    timers.push(setTimeout(() => attempt.cancel('no answer in time', true), slowMs));
   }
   const outcome = await attempt.outcome;
   for (const timer of timers) clearTimeout(timer);
@@ -162,6 +162,7 @@
   exchange: Exchange,
   attempt: Attempt,
   outcome: Outcome,
+  model = '',
 ): void {
   const {upstream} = attempt;
   const tookMs = node.clock() - attempt.startedAt;
@@ -177,7 +178,7 @@
   const failed =
     outcome.kind !== 'answer' || (outcome.answer?.status ?? 0) >= 500;
   if (failed && !exchange.ended) noteFailure(node, upstream);
-  noteOutcome(node, exchange, upstream, {failed, tookMs, outcome});
+  noteOutcome(node, exchange, upstream, {outcome, tookMs, model});
   node.note('attempt', {
     requestId: exchange.caller.attemptId,
     upstream: upstream.registered.id,
@@ -267,7 +268,7 @@
     if (!upstream) return undefined;
     const attempt = start(node, exchange, upstream, model, lastEventId);
     const outcome = await settle(exchange, attempt);
-    learn(node, exchange, attempt, outcome);
+    learn(node, exchange, attempt, outcome, model);
     if (outcome.kind === 'refused' || outcome.kind === 'unsent')
       exchange.runs -= 1;
     if (outcome.kind !== 'answer') continue;
@@ -341,6 +342,9 @@
     confidence: answer.confidence,
     elapsedMs: Math.round(elapsedMs),
     choice: larger ?? model,
+    route: exchange.route.name,
+    promptTokens: exchange.caller.promptTokens,
+    answerTokens: exchange.caller.answerTokens,
   });
   if (larger === undefined)
     return relayStream(node, exchange, progress, answer, body);
@@ -408,7 +412,7 @@
   }
   const attempt = start(node, exchange, upstream, progress.model);
   const outcome = await settle(exchange, attempt);
-  learn(node, exchange, attempt, outcome);
+  learn(node, exchange, attempt, outcome, progress.model);
   if (exchange.ended) {
     if (outcome.kind === 'answer') outcome.body.destroy();
     return Step.done;
@@ -428,6 +432,15 @@
 export async function dispatch(
   node: EntryNode,
   exchange: Exchange,
+): Promise<void> {
+  assignSide(node, exchange);
+  await sendUntilAnswered(node, exchange);
+  endSession(node, exchange);
+}
+
+async function sendUntilAnswered(
+  node: EntryNode,
+  exchange: Exchange,
 ): Promise<void> {
   const model = exchange.caller.anyModel
     ? firstModel(exchange.route.models)
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -16,6 +16,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {acceptsKeys} from './freshness.js';
 import type {EntryNode} from './node.js';
+import type {Side} from './versions.js';
 
 /** Time after which a refused caller may find things changed, milliseconds. */
 const RETRY_AFTER_MS = 300;
@@ -42,8 +43,10 @@
   runs: number;
   /** Upstreams to which it was sent. */
   readonly tried: Set<string>;
-  /** Version of the service that its session uses. */
-  version?: string;
+  /** Side of the roll-out of its service, while there is one. */
+  side?: Side;
+  /** Whether the version that is rolled out failed it. */
+  freshFailed: boolean;
   /** The caller has left, or the last answer was given. */
   ended: boolean;
   /** Ends the send that runs. */
@@ -126,6 +129,7 @@
     sends: 0,
     runs: 0,
     tried: new Set(),
+    freshFailed: false,
     ended: false,
   });
 }
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -1,7 +1,15 @@
-/** Registers the node in the store under a lease, and learns of the others. */
+/**
+ * The router's own keys in the store: nodes that are registered under leases,
+ * the key that they share, the holder of roll-outs and its plans.
+ */
 import {own} from '@parsleyarch/lifecycle/manager';
 import {repeat} from '@parsleyarch/lifecycle/process';
+import {
+  closePeerClient,
+  createPeerClient,
+} from '@parsleyarch/peer/client';
 import {KEY} from '@parsleyarch/platform/names';
+import type {RolloutPlan} from '@parsleyarch/policy/rollout-plan';
 import {
   commit,
   endLease,
@@ -9,7 +17,10 @@
   keepLease,
   type StoredItem,
 } from '@parsleyarch/store/keyspace';
+import {randomBytes} from 'node:crypto';
+import {z} from 'zod';
 import type {Follower} from './follow.js';
+import {applyHolder, isHolderKey, PLANS} from './holder.js';
 import type {EntryNode} from './node.js';
 
 /** Life of a registration without renewal, milliseconds. */
@@ -17,13 +28,30 @@
 const RENEW_MS = 3_000;
 /** Longest wait of a watch, milliseconds. */
 const WATCH_MS = 20_000;
+const PEER_KEY_BYTES = 24;
 const MEMBERS = `${KEY.own}nodes/`;
+const PEER_KEY = `${KEY.own}peer-key`;
+
+const Member = z.object({address: z.string()});
+const Plan = z.object({
+  order: z.number(),
+  service: z.string(),
+  target: z.string(),
+  phase: z.enum(['waiting', 'canary', 'ramp', 'complete', 'reverted']),
+  share: z.number(),
+  sequence: z.number(),
+  elapsedMs: z.number(),
+});
 
 interface Registration {
   lease?: number;
   registered: boolean;
 }
 
+function memberValue(node: EntryNode): Buffer {
+  return Buffer.from(JSON.stringify({address: node.settings.peers}));
+}
+
 async function register(
   node: EntryNode,
   registration: Registration,
@@ -33,16 +61,11 @@
     if (granted.isErr()) return;
     registration.lease = granted.value.lease;
   }
-  const value = {address: node.settings.peers, incarnation: node.incarnation};
+  const {lease} = registration;
+  const key = MEMBERS + node.settings.node;
   const written = await commit(node.keyspace, {
     expected: [],
-    writes: [
-      {
-        key: MEMBERS + node.settings.node,
-        value: Buffer.from(JSON.stringify(value)),
-        lease: registration.lease,
-      },
-    ],
+    writes: [{key, value: memberValue(node), lease}],
     removed: [],
   });
   registration.registered = written.isOk() && written.value !== undefined;
@@ -50,10 +73,22 @@
     registration.lease = undefined;
 }
 
+/** Creates the key that nodes share, if no node has done so. */
+async function shareKey(node: EntryNode): Promise<void> {
+  if (node.peers.key !== undefined) return;
+  const value = Buffer.from(randomBytes(PEER_KEY_BYTES).toString('hex'));
+  await commit(node.keyspace, {
+    expected: [{key: PEER_KEY, revision: 0}],
+    writes: [{key: PEER_KEY, value}],
+    removed: [],
+  });
+}
+
 async function renew(
   node: EntryNode,
   registration: Registration,
 ): Promise<void> {
+  await shareKey(node);
   if (!registration.registered) return register(node, registration);
   const kept = await keepLease(node.keyspace, registration.lease ?? 0);
   if (kept.isErr() || kept.value) return;
@@ -75,26 +110,64 @@
     void running.end();
     const {lease} = registration;
     if (lease !== undefined) await endLease(node.keyspace, lease);
+    if (node.peers.client) closePeerClient(node.peers.client);
   });
 }
 
+function parse<T>(schema: z.ZodType<T>, value: Buffer): T | undefined {
+  try {
+    return schema.parse(JSON.parse(value.toString('utf8')));
+  } catch {
+    return undefined;
+  }
+}
+
 function applyMember(node: EntryNode, {key, value}: StoredItem): void {
   const name = key.slice(MEMBERS.length);
-  if (value) node.members.set(name, value.toString('utf8'));
+  const member = value && parse(Member, value);
+  if (member) node.members.set(name, member.address);
   else node.members.delete(name);
   node.mostMembers = Math.max(node.mostMembers, node.members.size);
 }
 
-/** Follows the nodes that are registered. */
-export function memberFollower(node: EntryNode): Follower {
+function applyPlan(node: EntryNode, item: StoredItem): void {
+  const service = item.key.slice(PLANS.length);
+  const plan: RolloutPlan | undefined = item.value && parse(Plan, item.value);
+  if (!plan) {
+    node.versions.plans.delete(service);
+    node.log.warn({key: item.key}, 'roll-out plan gone or unreadable');
+    return;
+  }
+  const known = node.versions.plans.get(service);
+  if (known && known.revision >= item.revision) return;
+  const {revision} = item;
+  node.versions.plans.set(service, {plan, revision, seenAt: node.clock()});
+  node.log.info({plan, revision}, 'roll-out plan in force');
+}
+
+function applyOwn(node: EntryNode, item: StoredItem): void {
+  if (item.key.startsWith(MEMBERS)) applyMember(node, item);
+  else if (item.key.startsWith(PLANS)) applyPlan(node, item);
+  else if (isHolderKey(item.key)) applyHolder(node, item.value, item.revision);
+  else if (item.key === PEER_KEY && item.value && !node.peers.key) {
+    node.peers.key = item.value.toString('utf8');
+    node.peers.client = createPeerClient(node.peers.key);
+    node.onPeerKey(node.peers.key);
+  }
+}
+
+/** Follows the router's own keys. */
+export function ownFollower(node: EntryNode): Follower {
   return {
-    name: 'members',
-    prefix: MEMBERS,
+    name: 'own',
+    prefix: KEY.own,
     waitMs: WATCH_MS,
     reset(items) {
       node.members.clear();
-      for (const item of items) applyMember(node, item);
+      if (!items.some(({key}) => isHolderKey(key)))
+        applyHolder(node, undefined, 0);
+      for (const item of items) applyOwn(node, item);
     },
-    change: item => applyMember(node, item),
+    change: item => applyOwn(node, item),
   };
 }
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -3,6 +3,7 @@
 import {createManager, type Manager} from '@parsleyarch/lifecycle/manager';
 import {PLATFORM_STORE} from '@parsleyarch/platform/store';
 import type {ReportedLoad} from '@parsleyarch/platform/headers';
+import type {PeerClient} from '@parsleyarch/peer/client';
 import type {RouteIndex} from '@parsleyarch/policy/routes';
 import type {RetryWindow} from '@parsleyarch/policy/retry-window';
 import type {
@@ -17,7 +18,9 @@
 import {uptime} from 'node:os';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
 import {createNotes} from './notes.js';
+import {createHolding, type Holding} from './holder.js';
 import type {EntrySettings} from './settings.js';
+import {createVersions, type Versions} from './versions.js';
 
 /** What the node knows of one upstream. */
 export interface UpstreamState {
@@ -48,6 +51,12 @@
   readonly seenAt: number;
 }
 
+/** Connections to other nodes, once their key is known. */
+export interface PeerConnections {
+  key?: string;
+  client?: PeerClient;
+}
+
 /** Everything that one node knows and owns. */
 export interface EntryNode {
   readonly settings: EntrySettings;
@@ -67,8 +76,11 @@
   /** Failure domains that operators have taken out. */
   readonly evacuated: Set<string>;
   readonly orders: Map<string, KnownOrder>;
+  readonly versions: Versions;
+  readonly holding: Holding;
+  readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
-  /** Names of the nodes that are registered. */
+  /** Addresses of the nodes that are registered, by name. */
   readonly members: Map<string, string>;
   /** Most nodes that were registered at one time. */
   mostMembers: number;
@@ -80,6 +92,8 @@
   readonly note: (decision: string, fields: Record<string, unknown>) => void;
   /** Called with each configuration that comes into force. */
   onTable: (table: RoutingTable) => void;
+  /** Called once the key of the nodes is known. */
+  onPeerKey: (key: string) => void;
   readonly readClocks: () => {monotonic: number; uptimeSeconds: number};
   /** Whether callers are being served. */
   serving: boolean;
@@ -118,10 +132,14 @@
     upstreams: new Map(),
     evacuated: new Set(),
     orders: new Map(),
+    versions: createVersions(),
+    holding: createHolding(),
+    peers: {},
     retries: new Map(),
     members: new Map(),
     mostMembers: 1,
     onTable: () => {},
+    onPeerKey: () => {},
     readClocks: () => ({
       monotonic: performance.now(),
       uptimeSeconds: uptime(),
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -1,6 +1,8 @@
 /** Starts an entry node, and stops it without cutting a request. */
 import {own, stop} from '@parsleyarch/lifecycle/manager';
 import {wait} from '@parsleyarch/lifecycle/process';
+import {messageOf} from '@parsleyarch/errors/failure';
+import {closePeerServer, listenForPeers} from '@parsleyarch/peer/server';
 import {closeKeyspace} from '@parsleyarch/store/keyspace';
 import type {Server} from 'node:http';
 import {orderFollower, upstreamFollower} from './directory.js';
@@ -12,7 +14,8 @@
   createReadiness,
   listen,
 } from './ingress.js';
-import {keepRegistered, memberFollower} from './membership.js';
+import {answerConsultation, followRollouts} from './holder.js';
+import {keepRegistered, ownFollower} from './membership.js';
 import {createEntryNode, type EntryNode} from './node.js';
 import type {EntrySettings} from './settings.js';
 
@@ -57,6 +60,17 @@
   ingress.closeAllConnections();
 }
 
+async function servePeers(node: EntryNode, key: string): Promise<void> {
+  try {
+    const server = await listenForPeers(node.settings.peers, key, {
+      consult: consultation => answerConsultation(node, consultation),
+    });
+    own(node.manager, 'peer-listener', () => closePeerServer(server));
+  } catch (thrown) {
+    node.log.error({error: messageOf(thrown)}, 'cannot listen for peers');
+  }
+}
+
 async function start(node: EntryNode): Promise<void> {
   const {manager, settings} = node;
   node.log.info({incarnation: node.incarnation}, 'starting');
@@ -71,8 +85,10 @@
   node.onTable = table => applyLimits(ingress, table);
   // Connections are taken at once; requests before the configuration get 503.
   await listen(ingress, settings.callers);
-  void follow(node, memberFollower(node));
+  node.onPeerKey = key => void servePeers(node, key);
+  void follow(node, ownFollower(node));
   keepRegistered(node);
+  followRollouts(node);
   const known = Promise.all([
     follow(node, upstreamFollower(node)),
     follow(node, orderFollower(node)),
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -1,7 +1,173 @@
-/** Which versions of a service a request may use while one is rolled out. */
-import type {Exchange} from './exchange.js';
+/** Which version of its service a request uses while one is rolled out. */
+import type {RolloutReport, UpstreamTally} from '@parsleyarch/peer/messages';
+import {
+  findHarm,
+  type Tally,
+  type VersionTally,
+} from '@parsleyarch/policy/rollout';
+import {isMoved, Phase, type RolloutPlan} from '@parsleyarch/policy/rollout-plan';
+import {createHash} from 'node:crypto';
 import type {Outcome} from './attempt.js';
-import type {EntryNode, UpstreamState} from './node.js';
+import type {Exchange} from './exchange.js';
+import type {EntryNode, KnownOrder, UpstreamState} from './node.js';
+
+/** Sessions that are remembered at most. */
+const MAX_SESSIONS = 20_000;
+/** Multiple of the usual time from which a send counts as slow. */
+const SLOW_FACTOR = 3;
+/** Time that is never slow, milliseconds. */
+const SLOW_FLOOR_MS = 150;
+/** Weight of the newest time in the usual one. */
+const TIME_WEIGHT = 0.05;
+
+/** Which side of a roll-out a session is on. */
+export const Side = {old: 'old', fresh: 'fresh'} as const;
+export type Side = (typeof Side)[keyof typeof Side];
+
+interface KnownSession {
+  readonly side: Side;
+  readonly at: number;
+}
+
+interface CountedUpstream {
+  readonly fresh: boolean;
+  seen: number;
+  failed: number;
+  slow: number;
+}
+
+/** A plan as this node learnt of it. */
+export interface KnownPlan {
+  readonly plan: RolloutPlan;
+  readonly revision: number;
+  readonly seenAt: number;
+}
+
+/** What the node knows of roll-outs. */
+export interface Versions {
+  readonly plans: Map<string, KnownPlan>;
+  /** Sessions by service and id, the least recent first. */
+  readonly sessions: Map<string, KnownSession>;
+  /** Counts by order revision and upstream. */
+  readonly tallies: Map<number, Map<string, CountedUpstream>>;
+  /** Sessions that stay on the old version, by order revision. */
+  readonly kept: Map<number, Set<string>>;
+  /** Orders that this node no longer follows because of what it saw itself. */
+  readonly braked: Set<number>;
+  /** Usual time to an answer's header by route and model, milliseconds. */
+  readonly usual: Map<string, number>;
+}
+
+/** Knows nothing. */
+export function createVersions(): Versions {
+  return {
+    plans: new Map(),
+    sessions: new Map(),
+    tallies: new Map(),
+    kept: new Map(),
+    braked: new Set(),
+    usual: new Map(),
+  };
+}
+
+/** The plan that belongs to an order, if there is one. */
+export function planOf(
+  node: EntryNode,
+  order: KnownOrder,
+): RolloutPlan | undefined {
+  const plan = node.versions.plans.get(order.service)?.plan;
+  return plan?.order === order.revision ? plan : undefined;
+}
+
+function sessionOf({caller}: Exchange): string {
+  return caller.session ?? caller.attemptId;
+}
+
+/** Sessions that stay on the old version in the present roll-out. */
+export function keptOf(node: EntryNode, order: number): Set<string> {
+  const known = node.versions.kept.get(order);
+  if (known) return known;
+  const created = new Set<string>();
+  node.versions.kept.set(order, created);
+  return created;
+}
+
+function knownSide(node: EntryNode, key: string): Side | undefined {
+  const known = node.versions.sessions.get(key);
+  const {sessionSeconds} = node.settings.rollout;
+  if (!known || node.clock() - known.at > sessionSeconds * 1_000)
+    return undefined;
+  return known.side;
+}
+
+function drawSide(
+  node: EntryNode,
+  order: KnownOrder,
+  plan: RolloutPlan,
+  session: string,
+): Side {
+  const hash = createHash('sha256').update(`${plan.target}/${session}`);
+  const moved = isMoved(hash.digest('hex'), plan.share);
+  const known = knownSide(node, `${order.service}/${session}`);
+  if (known === Side.fresh) return Side.fresh;
+  if (!moved) return Side.old;
+  if (plan.phase !== Phase.canary) return Side.fresh;
+  const kept = keptOf(node, order.revision);
+  // Until sessions may move, only those that begin now use the version.
+  if (known === Side.old) kept.add(session);
+  return kept.has(session) ? Side.old : Side.fresh;
+}
+
+function sideOf(
+  node: EntryNode,
+  order: KnownOrder,
+  exchange: Exchange,
+): Side {
+  const plan = planOf(node, order);
+  if (!plan || plan.phase === Phase.waiting || plan.phase === Phase.reverted)
+    return Side.old;
+  if (plan.phase === Phase.complete) return Side.fresh;
+  if (node.versions.braked.has(order.revision)) return Side.old;
+  return drawSide(node, order, plan, sessionOf(exchange));
+}
+
+/** Draws the side of a new request; later sends of it keep the side. */
+export function assignSide(node: EntryNode, exchange: Exchange): void {
+  const order = node.orders.get(exchange.service);
+  exchange.side = order ? sideOf(node, order, exchange) : undefined;
+  // The session lasts at least while the request may run.
+  noteSession(node, exchange, exchange.endsAt);
+}
+
+/** Notes the end of a request of a session, and where it ended. */
+export function endSession(node: EntryNode, exchange: Exchange): void {
+  const {session} = exchange.caller;
+  const order = node.orders.get(exchange.service);
+  if (order && exchange.freshFailed && session !== undefined) {
+    exchange.side = Side.old;
+    keptOf(node, order.revision).add(session);
+  }
+  noteSession(node, exchange, node.clock());
+}
+
+/** Remembers the side of a session; requests without an order are old. */
+function noteSession(node: EntryNode, exchange: Exchange, at: number): void {
+  if (exchange.caller.session === undefined) return;
+  const {sessions} = node.versions;
+  const key = `${exchange.service}/${exchange.caller.session}`;
+  sessions.delete(key);
+  sessions.set(key, {side: exchange.side ?? Side.old, at});
+  for (const oldest of sessions.keys()) {
+    if (sessions.size <= MAX_SESSIONS) break;
+    sessions.delete(oldest);
+  }
+}
+
+/** A version that was reverted stays unused after its order is gone. */
+function isReverted(node: EntryNode, service: string, version: string) {
+  const plan = node.versions.plans.get(service)?.plan;
+  return plan?.phase === Phase.reverted && plan.target === version;
+}
 
 /** Whether a request may run on a version of its service. */
 export function allowsVersion(
@@ -10,21 +176,136 @@
   version: string,
 ): boolean {
   const order = node.orders.get(exchange.service);
-  if (!order) return true;
-  return version !== order.target;
+  if (!order) return !isReverted(node, exchange.service, version);
+  const fresh = version === order.target;
+  if (exchange.side !== Side.fresh) return !fresh;
+  const plan = planOf(node, order);
+  if (plan?.phase === Phase.reverted) return !fresh;
+  return fresh || (plan?.phase !== Phase.complete && exchange.freshFailed);
 }
 
 /** How a send ended, as far as the version's quality goes. */
 export interface VersionOutcome {
-  readonly failed: boolean;
-  readonly tookMs: number;
   readonly outcome: Outcome;
+  readonly tookMs: number;
+  readonly model: string;
+}
+
+function isSlow(
+  node: EntryNode,
+  key: string,
+  tookMs: number,
+  fresh: boolean,
+): boolean {
+  const {usual} = node.versions;
+  const known = usual.get(key) ?? tookMs;
+  if (!fresh) usual.set(key, known + (tookMs - known) * TIME_WEIGHT);
+  return tookMs > Math.max(SLOW_FLOOR_MS, known * SLOW_FACTOR);
+}
+
+function countSend(
+  node: EntryNode,
+  order: KnownOrder,
+  upstream: UpstreamState,
+): CountedUpstream {
+  const {tallies} = node.versions;
+  const counts = tallies.get(order.revision) ?? new Map();
+  tallies.set(order.revision, counts);
+  const {id, version} = upstream.registered;
+  const fresh = version === order.target;
+  const tally = counts.get(id) ?? {fresh, seen: 0, failed: 0, slow: 0};
+  counts.set(id, tally);
+  tally.seen += 1;
+  return tally;
 }
 
 /** Counts a send's end for the comparison of versions. */
 export function noteOutcome(
-  _node: EntryNode,
-  _exchange: Exchange,
-  _upstream: UpstreamState,
-  _seen: VersionOutcome,
-): void {}
+  node: EntryNode,
+  exchange: Exchange,
+  upstream: UpstreamState,
+  {outcome, tookMs, model}: VersionOutcome,
+): void {
+  const order = node.orders.get(exchange.service);
+  const fresh = upstream.registered.version === order?.target;
+  const key = `${exchange.route.name}/${model}`;
+  const answered = outcome.kind === 'answer';
+  const cut = outcome.kind === 'lost' && outcome.tooLate;
+  if (!answered && !cut) return;
+  const slow = isSlow(node, key, tookMs, fresh);
+  if (!order) return;
+  const tally = countSend(node, order, upstream);
+  if (answered && outcome.answer.status >= 500) {
+    tally.failed += 1;
+    if (fresh) exchange.freshFailed = true;
+  }
+  if (slow || cut) tally.slow += 1;
+  if (fresh) brake(node, order);
+}
+
+function addTally(sum: Tally, seen: number, bad: number): Tally {
+  return {seen: sum.seen + seen, bad: sum.bad + bad};
+}
+
+const NOTHING: Tally = {seen: 0, bad: 0};
+
+/** Sums counts of upstreams of one side. */
+export function sumTallies(
+  tallies: Iterable<UpstreamTally>,
+  fresh: boolean,
+): VersionTally {
+  let error = NOTHING;
+  let latency = NOTHING;
+  for (const tally of tallies) {
+    if (tally.fresh !== fresh) continue;
+    error = addTally(error, tally.seen, tally.failed);
+    latency = addTally(latency, tally.seen, tally.slow);
+  }
+  return {error, latency, rating: NOTHING};
+}
+
+/** The counts of this node for an order. */
+export function listTallies(node: EntryNode, order: number): UpstreamTally[] {
+  const counts = node.versions.tallies.get(order) ?? new Map();
+  return [...counts].map(([upstream, tally]) => ({upstream, ...tally}));
+}
+
+/** Stops using a version at once when this node's own counts speak against it. */
+function brake(node: EntryNode, order: KnownOrder): void {
+  if (node.versions.braked.has(order.revision)) return;
+  const plan = planOf(node, order);
+  if (plan?.phase === Phase.complete) return;
+  const tallies = listTallies(node, order.revision);
+  const signal = findHarm(
+    sumTallies(tallies, true),
+    sumTallies(tallies, false),
+  );
+  if (!signal) return;
+  node.versions.braked.add(order.revision);
+  node.log.warn(
+    {service: order.service, version: order.target, signal, tallies},
+    'version no longer used by this node',
+  );
+}
+
+/** What this node reports of its roll-outs. */
+export function reportRollouts(node: EntryNode): RolloutReport[] {
+  const reports: RolloutReport[] = [];
+  for (const order of node.orders.values()) {
+    const plan = planOf(node, order);
+    let oldInFlight = 0;
+    for (const {registered, inFlight} of node.upstreams.values()) {
+      if (registered.service !== order.service) continue;
+      if (registered.version !== order.target) oldInFlight += inFlight;
+    }
+    reports.push({
+      service: order.service,
+      order: order.revision,
+      sequence: plan?.sequence ?? 0,
+      tallies: listTallies(node, order.revision),
+      oldInFlight,
+      keptSessions: [...keptOf(node, order.revision)],
+    });
+  }
+  return reports;
+}
--- a/apps/router/src/peering.ts
+++ b/apps/router/src/peering.ts
@@ -9,7 +9,7 @@
 import {answerAsks, takeHandover} from './stewards.js';
 
 /** Handlers of the peer listener. */
-export function peerHandlers(node: RouterNode): PeerHandlers {
+export function peerHandlers(node: RouterNode): Omit<PeerHandlers, 'consult'> {
   return {
     beats: () => ({beats: beatsToTell(node)}),
     fetchEntries: ({revision}) => entriesAfter(node, revision),
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -93,6 +93,44 @@
   /** Decision lines in JSON, oldest first. */
   readonly lines: readonly string[];
 }
+/** Sends to one upstream since a roll-out was ordered. */
+export interface UpstreamTally {
+  readonly upstream: string;
+  /** Whether it runs the version that is rolled out. */
+  readonly fresh: boolean;
+  readonly seen: number;
+  readonly failed: number;
+  readonly slow: number;
+}
+/** What one node sees of one roll-out. */
+export interface RolloutReport {
+  readonly service: string;
+  /** Revision of the order that the counts belong to. */
+  readonly order: number;
+  /** Sequence number of the plan that the node follows. */
+  readonly sequence: number;
+  readonly tallies: readonly UpstreamTally[];
+  /** Requests that still run on the old version. */
+  readonly oldInFlight: number;
+  /** Sessions that stay on the old version although their bucket is moved. */
+  readonly keptSessions: readonly string[];
+}
+/** What one node tells the holder of roll-outs. */
+export interface Consultation {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly reports: readonly RolloutReport[];
+}
+/** Sessions of all nodes that stay on the old version. */
+export interface KeptSessions {
+  readonly service: string;
+  readonly order: number;
+  readonly sessions: readonly string[];
+}
+/** The holder's answer. */
+export interface Advice {
+  readonly kept: readonly KeptSessions[];
+}
 /** An answer without content. */
 export type Ack = Record<string, never>;
 
@@ -107,6 +145,7 @@
   copyPins: [PinCopy, Ack];
   shareEvidence: [Evidence, Ack];
   explain: [ExplainAsk, Explanation];
+  consult: [Consultation, Advice];
 }
 
 /** Name of a call between nodes. */
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -50,14 +50,14 @@
 export async function listenForPeers(
   address: string,
   key: string,
-  handlers: PeerHandlers,
+  handlers: Partial<PeerHandlers>,
 ): Promise<Server> {
   const server = new Server();
   const methods = Object.keys(handlers) as PeerCall[];
   server.addService(
     PEER_SERVICE,
     Object.fromEntries(
-      methods.map(method => [method, unary(key, handlers[method])]),
+      methods.map(method => [method, unary(key, handlers[method]!)]),
     ),
   );
   await new Promise<void>((resolve, reject) => {
--- a/packages/policy/src/rollout.ts
+++ b/packages/policy/src/rollout.ts
@@ -74,7 +74,7 @@
 const DOUBT = 0;
 
 /** Whether some signal leans against the new version, short of proof. */
-function isDoubtful(fresh: VersionTally, old: VersionTally): boolean {
+export function isDoubtful(fresh: VersionTally, old: VersionTally): boolean {
   return SIGNALS.some(
     signal => evidenceAgainst(fresh[signal], old[signal]) > DOUBT,
   );
