Treat an answer without length as cut when its connection breaks

The body now carries whether its connection broke. Ruled out: a runner that closes cleanly after a part; nothing shows that from here.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -31,9 +31,21 @@
   | {
       readonly kind: 'answer';
       readonly answer: UpstreamAnswer;
-      readonly body: http.IncomingMessage;
+      readonly body: AnswerBody;
     };
 
+/** The body of an answer, as it comes. */
+export interface AnswerBody {
+  readonly message: http.IncomingMessage;
+  /** Whether the connection broke; a body without length then looks whole. */
+  broken: boolean;
+}
+
+/** Whether a body that has ended is all that the upstream sent. */
+export function isWhole({message, broken}: AnswerBody): boolean {
+  return message.complete && !broken;
+}
+
 /** A send that runs. */
 export interface Attempt {
   readonly upstream: UpstreamState;
@@ -67,14 +79,15 @@
   return undefined;
 }
 
-function judge(exchange: Exchange, response: http.IncomingMessage): Outcome {
+function judge(exchange: Exchange, body: AnswerBody): Outcome {
+  const response = body.message;
   const answer = readAnswer(response.statusCode ?? 0, response.rawHeaders);
   if (answer.notRun) {
     response.resume();
     return {kind: 'refused', answer};
   }
   const fault = findFault(answer, exchange);
-  if (!fault) return {kind: 'answer', answer, body: response};
+  if (!fault) return {kind: 'answer', answer, body};
   response.destroy();
   return {kind: 'lost', reason: fault};
 }
@@ -119,8 +132,15 @@
         clearTimeout(connecting);
       });
     });
-    sent.on('response', response => resolve(judge(exchange, response)));
-    sent.on('error', fail);
+    let body: AnswerBody | undefined;
+    sent.on('response', message => {
+      body = {message, broken: false};
+      resolve(judge(exchange, body));
+    });
+    sent.on('error', error => {
+      if (body) body.broken = true;
+      fail(error);
+    });
     sent.on('close', () => {
       clearTimeout(connecting);
       upstream.inFlight -= 1;
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -13,8 +13,13 @@
   takeRepeat,
   type RetryWindow,
 } from '@parsleyarch/policy/retry-window';
-import type {IncomingMessage} from 'node:http';
-import {startAttempt, type Attempt, type Outcome} from './attempt.js';
+import {
+  isWhole,
+  startAttempt,
+  type AnswerBody,
+  type Attempt,
+  type Outcome,
+} from './attempt.js';
 import {
   isRepeatable,
   isStream,
@@ -211,7 +216,7 @@
   exchange: Exchange,
   progress: Progress,
   answer: UpstreamAnswer,
-  incoming: IncomingMessage,
+  incoming: AnswerBody,
 ): Promise<Step> {
   const body = await collect(incoming);
   if (!body) {
@@ -234,14 +239,14 @@
 /** Passes events on until the stream ends; false when it breaks. */
 async function pump(
   exchange: Exchange,
-  body: IncomingMessage,
+  body: AnswerBody,
   cutter: ReturnType<typeof createCutter>,
 ): Promise<boolean> {
   const stallMs = exchange.route.pauseObjectiveMs * STALLED_PAUSES;
-  const stalled = () => body.destroy(new Error('stream stalled'));
+  const stalled = () => body.message.destroy(new Error('stream stalled'));
   let timer = setTimeout(stalled, stallMs);
   try {
-    for await (const chunk of body as AsyncIterable<Buffer>) {
+    for await (const chunk of body.message as AsyncIterable<Buffer>) {
       clearTimeout(timer);
       await writeBytes(exchange.response, cutter.cut(chunk));
       timer = setTimeout(stalled, stallMs);
@@ -251,7 +256,7 @@
   } finally {
     clearTimeout(timer);
   }
-  return body.complete && !cutter.pending();
+  return isWhole(body) && !cutter.pending();
 }
 
 /** Goes on with a broken stream at another upstream, after its last event. */
@@ -260,7 +265,7 @@
   exchange: Exchange,
   model: string | undefined,
   lastEventId: string,
-): Promise<IncomingMessage | undefined> {
+): Promise<AnswerBody | undefined> {
   while (!exchange.ended && isRepeatable(exchange)) {
     const stop = findStop(node, exchange);
     if (stop) return undefined;
@@ -274,7 +279,7 @@
     if (outcome.kind !== 'answer') continue;
     const {status} = outcome.answer;
     if (status >= 200 && status < 300) return outcome.body;
-    outcome.body.resume();
+    outcome.body.message.resume();
   }
   return undefined;
 }
@@ -284,7 +289,7 @@
   exchange: Exchange,
   progress: Progress,
   answer: UpstreamAnswer,
-  first: IncomingMessage,
+  first: AnswerBody,
 ): Promise<Step> {
   const {response, caller} = exchange;
   writeHead(node, response, answer);
@@ -293,7 +298,7 @@
   const firstByteMs = node.clock() - exchange.startedAt;
   node.metrics.firstByte.observe({route}, firstByteMs / 1_000);
   const cutter = createCutter(caller.lastEventId);
-  let body: IncomingMessage | undefined = first;
+  let body: AnswerBody | undefined = first;
   while (body) {
     if (await pump(exchange, body, cutter)) {
       if (exchange.ended) return Step.done;
@@ -320,7 +325,7 @@
   exchange: Exchange,
   progress: Progress,
   answer: UpstreamAnswer,
-  body: IncomingMessage,
+  body: AnswerBody,
 ): Promise<Step> {
   const success = answer.status >= 200 && answer.status < 300;
   if (!success || !isStream(exchange))
@@ -348,7 +353,7 @@
   });
   if (larger === undefined)
     return relayStream(node, exchange, progress, answer, body);
-  body.destroy();
+  body.message.destroy();
   progress.model = larger;
   progress.reason = 'confidence too low';
   // The same upstream may serve the larger model.
@@ -414,7 +419,7 @@
   const outcome = await settle(exchange, attempt);
   learn(node, exchange, attempt, outcome, progress.model);
   if (exchange.ended) {
-    if (outcome.kind === 'answer') outcome.body.destroy();
+    if (outcome.kind === 'answer') outcome.body.message.destroy();
     return Step.done;
   }
   return handle(node, exchange, progress, outcome);
--- a/apps/router/src/entry/relay.ts
+++ b/apps/router/src/entry/relay.ts
@@ -1,8 +1,8 @@
 /** Passes answers of upstreams on to callers. */
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {createParser} from 'eventsource-parser';
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import {MAX_HELD_BYTES} from './attempt.js';
+import type {ServerResponse} from 'node:http';
+import {isWhole, MAX_HELD_BYTES, type AnswerBody} from './attempt.js';
 import type {EntryNode} from './node.js';
 
 /** Writes the status and header of an upstream's answer. */
@@ -20,12 +20,12 @@
 
 /** Reads a body to its end; `undefined` when it is cut or too large. */
 export async function collect(
-  body: IncomingMessage,
+  body: AnswerBody,
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let size = 0;
   try {
-    for await (const chunk of body as AsyncIterable<Buffer>) {
+    for await (const chunk of body.message as AsyncIterable<Buffer>) {
       chunks.push(chunk);
       size += chunk.length;
       if (size > MAX_HELD_BYTES) return undefined;
@@ -33,7 +33,7 @@
   } catch {
     return undefined;
   }
-  return body.complete ? Buffer.concat(chunks) : undefined;
+  return isWhole(body) ? Buffer.concat(chunks) : undefined;
 }
 
 /** Splits a stream into whole events and keeps the id of the last one. */
--- a/packages/lifecycle/src/process.ts
+++ b/packages/lifecycle/src/process.ts
@@ -2,7 +2,11 @@
  * The bridge between js-csp processes and promises. Each subsystem is one
  * process; channels carry requests, batches and control events.
  */
-import * as csp from 'js-csp';
+import * as library from 'js-csp';
+
+// Node exposes a CommonJS module by its default export only, bundlers by names.
+const csp: typeof library = Reflect.get(library, 'default') ?? library;
+type Channel<T> = library.Channel<T>;
 
 /** Resolves after a time. */
 export function wait(ms: number): Promise<void> {
@@ -10,7 +14,7 @@
 }
 
 /** A channel that yields the promise's outcome, then closes. */
-export function settle<T>(promise: Promise<T>): csp.Channel<Settled<T>> {
+export function settle<T>(promise: Promise<T>): Channel<Settled<T>> {
   const channel = csp.chan<Settled<T>>(1);
   promise.then(
     value => csp.putAsync(channel, {value}),
@@ -68,7 +72,7 @@
 function pause(
   ms: number,
   onStart: (cancel: () => void) => void,
-): csp.Channel<null> {
+): Channel<null> {
   const channel = csp.chan<null>();
   const timer = setTimeout(() => channel.close(), ms);
   onStart(() => {
