--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -6,7 +6,6 @@
 import {failure, type Failure} from '@parsleyarch/errors/failure';
 import {wait} from '@parsleyarch/lifecycle/process';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
-import {escalate, firstModel} from '@parsleyarch/policy/model-choice';
 import {
   countFirst,
   createRetryWindow,
@@ -26,6 +25,7 @@
   priorityOf,
   type Exchange,
 } from './exchange.js';
+import {chooseLarger, noteGain, noteModelTime} from './models.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {collect, createCutter, writeBytes, writeHead} from './relay.js';
 import {endWithFailure, noteEnd} from './reply.js';
@@ -38,16 +38,16 @@
 const ROOM_POLL_MS = 40;
 /** Longest wait for room, as a share of the objective. */
 const ROOM_SHARE = 0.125;
-/** Share of the objective after which a silent upstream is given up. */
+/** Shares of the objective after which a silent upstream is given up. */
 const SILENT_SHARE = 0.6;
-/** Multiple of the objective after which any upstream is given up. */
+/** An engine may be silent because it reads long prompts. */
+const SILENT_ENGINE_SHARE = 1.6;
+/** Multiple of the objective after which any plain upstream is given up. */
 const SLOW_SHARE = 1.5;
 /** Pauses between events, in objectives, after which a stream moves on. */
 const STALLED_PAUSES = 2;
 /** When a caller may find room again, milliseconds. */
 const RETRY_AFTER_MS = 300;
-/** Answers with a confidence under this are replaced by a larger model's. */
-const CASCADE = {minConfidence: 60, latestShare: 0.6};
 
 interface HeldAnswer {
   readonly answer: UpstreamAnswer;
@@ -57,6 +57,8 @@
 /** What the sends so far have brought. */
 interface Progress {
   model?: string;
+  /** Confidence of the answer that was dropped for a larger model's. */
+  dropped?: {readonly model: string; readonly confidence: number};
   /** Last whole answer by which an upstream failed the request. */
   held?: HeldAnswer;
   reason: string;
@@ -152,9 +154,11 @@
       if (attempt.upstream.lastAnswerAt < attempt.startedAt)
         attempt.cancel('upstream is silent', true);
     };
-    timers.push(setTimeout(giveUpIfSilent, objectiveMs * SILENT_SHARE));
-    const slowMs = objectiveMs * SLOW_SHARE;
-    timers.push(setTimeout(() => attempt.cancel('no answer in time', true), slowMs));
+    const share = isStream(exchange) ? SILENT_ENGINE_SHARE : SILENT_SHARE;
+    timers.push(setTimeout(giveUpIfSilent, objectiveMs * share));
+    const giveUp = () => attempt.cancel('no answer in time', true);
+    if (!isStream(exchange))
+      timers.push(setTimeout(giveUp, objectiveMs * SLOW_SHARE));
   }
   const outcome = await attempt.outcome;
   for (const timer of timers) clearTimeout(timer);
@@ -175,6 +179,8 @@
   if (outcome.kind === 'answer' || outcome.kind === 'refused') {
     upstream.lastAnswerAt = node.clock();
     const {load} = outcome.answer;
+    if (outcome.kind === 'answer' && model)
+      noteModelTime(node, exchange, model, tookMs);
     if (load) {
       upstream.load = {...load, at: node.clock()};
       upstream.sentSinceReport = 0;
@@ -330,15 +336,18 @@
   const success = answer.status >= 200 && answer.status < 300;
   if (!success || !isStream(exchange))
     return takeWhole(node, exchange, progress, answer, body);
-  const {models, objectiveMs, maxAttempts} = exchange.route;
-  const model = progress.model;
-  if (model === undefined)
+  const {objectiveMs, maxAttempts} = exchange.route;
+  const {model} = progress;
+  if (model === undefined || answer.confidence === undefined)
     return relayStream(node, exchange, progress, answer, body);
+  const {confidence} = answer;
   const elapsedMs = node.clock() - exchange.startedAt;
-  const judged = {model, confidence: answer.confidence, elapsedMs, objectiveMs};
+  if (progress.dropped)
+    noteGain(node, progress.dropped, {model, confidence});
+  const judged = {confidence, elapsedMs, objectiveMs};
   const larger =
     isRepeatable(exchange) && exchange.runs < maxAttempts
-      ? escalate(models, judged, CASCADE)
+      ? chooseLarger(node, exchange, model, judged)
       : undefined;
   node.metrics.models.inc({model, use: larger ? 'dropped' : 'passed'});
   node.note('model', {
@@ -354,6 +363,7 @@
   if (larger === undefined)
     return relayStream(node, exchange, progress, answer, body);
   body.message.destroy();
+  progress.dropped = {model, confidence};
   progress.model = larger;
   progress.reason = 'confidence too low';
   // The same upstream may serve the larger model.
@@ -448,7 +458,7 @@
   exchange: Exchange,
 ): Promise<void> {
   const model = exchange.caller.anyModel
-    ? firstModel(exchange.route.models)
+    ? exchange.route.models[0]
     : undefined;
   const progress: Progress = {model, reason: 'first send'};
   while (!exchange.ended) {
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -17,6 +17,7 @@
 import * as http from 'node:http';
 import {uptime} from 'node:os';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
+import {createModelKnowledge, type ModelKnowledge} from './models.js';
 import {createNotes} from './notes.js';
 import {createHolding, type Holding} from './holder.js';
 import type {EntrySettings} from './settings.js';
@@ -77,6 +78,7 @@
   readonly evacuated: Set<string>;
   readonly orders: Map<string, KnownOrder>;
   readonly versions: Versions;
+  readonly models: ModelKnowledge;
   readonly holding: Holding;
   readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
@@ -133,6 +135,7 @@
     evacuated: new Set(),
     orders: new Map(),
     versions: createVersions(),
+    models: createModelKnowledge(),
     holding: createHolding(),
     peers: {},
     retries: new Map(),
--- a/packages/lifecycle/src/process.ts
+++ b/packages/lifecycle/src/process.ts
@@ -5,7 +5,7 @@
 import * as library from 'js-csp';
 
 // Node exposes a CommonJS module by its default export only, bundlers by names.
-const csp: typeof library = Reflect.get(library, 'default') ?? library;
+const csp = (Reflect.get(library, 'default') ?? library) as typeof library;
 type Channel<T> = library.Channel<T>;
 
 /** Resolves after a time. */
--- a/packages/resource/src/routing.ts
+++ b/packages/resource/src/routing.ts
@@ -55,6 +55,8 @@
   readonly coldPerSecond: number;
   /** Whether its upstreams are model engines. */
   readonly isEngine: boolean;
+  /** Price of each model that its upstreams serve, in any one unit. */
+  readonly modelCosts: ReadonlyMap<string, number>;
 }
 
 /** A caller organisation as the entry path sees it. */
