Choose upstreams by the work that all nodes make

Every node now tells a collector each 100 ms what it has sent where, weighed by unread tokens and model, and is told the others' sums. Ruled out: a preference for the own domain as the cause.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -8,6 +8,7 @@
 import * as http from 'node:http';
 import type {EntryNode, UpstreamState} from './node.js';
 import type {Exchange} from './exchange.js';
+import type {Selection} from './selection.js';
 
 /** Longest wait for a connection to an upstream, milliseconds. */
 const CONNECT_MS = 400;
@@ -96,7 +97,7 @@
 export function startAttempt(
   node: EntryNode,
   exchange: Exchange,
-  upstream: UpstreamState,
+  {upstream, work}: Selection,
   request: UpstreamRequest,
 ): Attempt {
   const [host, port] = upstream.registered.address.split(':');
@@ -113,6 +114,7 @@
   let cause = '';
   let gaveUp = false;
   upstream.inFlight += 1;
+  upstream.pendingWork += work;
   const outcome = new Promise<Outcome>(resolve => {
     const connecting = setTimeout(
       () => cancel('no connection in time'),
@@ -135,6 +137,8 @@
     let body: AnswerBody | undefined;
     sent.on('response', message => {
       body = {message, broken: false};
+      upstream.pendingWork -= work;
+      upstream.streaming += 1;
       resolve(judge(exchange, body));
     });
     sent.on('error', error => {
@@ -144,6 +148,8 @@
     sent.on('close', () => {
       clearTimeout(connecting);
       upstream.inFlight -= 1;
+      if (body) upstream.streaming -= 1;
+      else upstream.pendingWork -= work;
       fail();
     });
   });
--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -121,6 +121,8 @@
     registered,
     coldUntil: 0,
     inFlight: 0,
+    pendingWork: 0,
+    streaming: 0,
     sentSinceReport: 0,
     failures: [],
     sends: [],
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -19,17 +19,17 @@
   type Attempt,
   type Outcome,
 } from './attempt.js';
-import {
-  isRepeatable,
-  isStream,
-  priorityOf,
-  type Exchange,
-} from './exchange.js';
+import {isRepeatable, isStream, priorityOf, type Exchange} from './exchange.js';
 import {chooseLarger, noteGain, noteModelTime} from './models.js';
-import type {EntryNode, UpstreamState} from './node.js';
+import type {EntryNode} from './node.js';
 import {collect, createCutter, writeBytes, writeHead} from './relay.js';
 import {endWithFailure, noteEnd} from './reply.js';
-import {noteFailure, noteSend, selectUpstream} from './selection.js';
+import {
+  noteFailure,
+  noteSend,
+  selectUpstream,
+  type Selection,
+} from './selection.js';
 import {assignSide, endSession, noteOutcome} from './versions.js';
 
 /** Sends that an upstream may refuse without a run, beyond the attempts. */
@@ -107,12 +107,12 @@
   node: EntryNode,
   exchange: Exchange,
   model?: string,
-): Promise<UpstreamState | undefined> {
+): Promise<Selection | undefined> {
   const until =
     node.clock() + Math.min(1_000, exchange.route.objectiveMs * ROOM_SHARE);
   for (;;) {
-    const upstream = selectUpstream(node, exchange, model);
-    if (upstream || exchange.ended || node.clock() >= until) return upstream;
+    const selection = selectUpstream(node, exchange, model);
+    if (selection || exchange.ended || node.clock() >= until) return selection;
     await wait(ROOM_POLL_MS);
   }
 }
@@ -120,7 +120,7 @@
 function start(
   node: EntryNode,
   exchange: Exchange,
-  upstream: UpstreamState,
+  {upstream, work}: Selection,
   model: string | undefined,
   lastEventId?: string,
 ): Attempt {
@@ -129,23 +129,25 @@
   exchange.runs += 1;
   exchange.tried.add(id);
   noteSend(node, upstream, exchange, model);
-  const attempt = startAttempt(node, exchange, upstream, {
-    upstream: id,
-    customer: exchange.customer?.name,
-    deadlineMs: Math.floor(exchange.endsAt - node.clock()),
-    model,
-    urgency: Math.min(9, Math.max(0, priorityOf(exchange))),
-    lastEventId,
-  });
+  const attempt = startAttempt(
+    node,
+    exchange,
+    {upstream, work},
+    {
+      upstream: id,
+      customer: exchange.customer?.name,
+      deadlineMs: Math.floor(exchange.endsAt - node.clock()),
+      model,
+      urgency: Math.min(9, Math.max(0, priorityOf(exchange))),
+      lastEventId,
+    },
+  );
   exchange.cancel = attempt.cancel;
   return attempt;
 }
 
 /** Waits for the header of an answer as long as that is of use. */
-async function settle(
-  exchange: Exchange,
-  attempt: Attempt,
-): Promise<Outcome> {
+async function settle(exchange: Exchange, attempt: Attempt): Promise<Outcome> {
   const {objectiveMs, maxAttempts} = exchange.route;
   const movable = isRepeatable(exchange) && exchange.runs < maxAttempts;
   const timers: NodeJS.Timeout[] = [];
@@ -199,6 +201,9 @@
     confidence: 'answer' in outcome ? outcome.answer.confidence : undefined,
     reason: 'reason' in outcome ? outcome.reason : undefined,
     tookMs: Math.round(tookMs),
+    model,
+    load: 'answer' in outcome ? outcome.answer.load : undefined,
+    promptTokens: exchange.caller.promptTokens,
   });
 }
 
@@ -275,9 +280,9 @@
   while (!exchange.ended && isRepeatable(exchange)) {
     const stop = findStop(node, exchange);
     if (stop) return undefined;
-    const upstream = selectUpstream(node, exchange, model);
-    if (!upstream) return undefined;
-    const attempt = start(node, exchange, upstream, model, lastEventId);
+    const selection = selectUpstream(node, exchange, model);
+    if (!selection) return undefined;
+    const attempt = start(node, exchange, selection, model, lastEventId);
     const outcome = await settle(exchange, attempt);
     learn(node, exchange, attempt, outcome, model);
     if (outcome.kind === 'refused' || outcome.kind === 'unsent')
@@ -342,8 +347,7 @@
     return relayStream(node, exchange, progress, answer, body);
   const {confidence} = answer;
   const elapsedMs = node.clock() - exchange.startedAt;
-  if (progress.dropped)
-    noteGain(node, progress.dropped, {model, confidence});
+  if (progress.dropped) noteGain(node, progress.dropped, {model, confidence});
   const judged = {confidence, elapsedMs, objectiveMs};
   const larger =
     isRepeatable(exchange) && exchange.runs < maxAttempts
@@ -419,13 +423,13 @@
     progress.reason = `${stop} (${progress.reason})`;
     return Step.stop;
   }
-  const upstream = await findUpstream(node, exchange, progress.model);
+  const selection = await findUpstream(node, exchange, progress.model);
   if (exchange.ended) return Step.done;
-  if (!upstream) {
+  if (!selection) {
     progress.reason = `no upstream (${progress.reason})`;
     return Step.stop;
   }
-  const attempt = start(node, exchange, upstream, progress.model);
+  const attempt = start(node, exchange, selection, progress.model);
   const outcome = await settle(exchange, attempt);
   learn(node, exchange, attempt, outcome, progress.model);
   if (exchange.ended) {
@@ -457,9 +461,7 @@
   node: EntryNode,
   exchange: Exchange,
 ): Promise<void> {
-  const model = exchange.caller.anyModel
-    ? exchange.route.models[0]
-    : undefined;
+  const model = exchange.caller.anyModel ? exchange.route.models[0] : undefined;
   const progress: Progress = {model, reason: 'first send'};
   while (!exchange.ended) {
     const step = await sendOnce(node, exchange, progress);
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -146,9 +146,7 @@
     for await (const chunk of request as AsyncIterable<Buffer>) {
       size += chunk.length;
       if (size > bound)
-        return err(
-          failure('body-too-large', `a body may have ${bound} bytes`),
-        );
+        return err(failure('body-too-large', `a body may have ${bound} bytes`));
       chunks.push(chunk);
     }
   } catch {
--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -403,8 +403,7 @@
     CONSULT_TIMEOUT_MS,
   );
   if (advice.isOk()) takeAdvice(node, advice.value);
-  else
-    node.note('consult', {choice: 'failed', reason: advice.error.message});
+  else node.note('consult', {choice: 'failed', reason: advice.error.message});
 }
 
 async function holdStep(node: EntryNode): Promise<void> {
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -4,10 +4,7 @@
  */
 import {own} from '@parsleyarch/lifecycle/manager';
 import {repeat} from '@parsleyarch/lifecycle/process';
-import {
-  closePeerClient,
-  createPeerClient,
-} from '@parsleyarch/peer/client';
+import {closePeerClient, createPeerClient} from '@parsleyarch/peer/client';
 import {KEY} from '@parsleyarch/platform/names';
 import type {RolloutPlan} from '@parsleyarch/policy/rollout-plan';
 import {
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -17,6 +17,7 @@
 import * as http from 'node:http';
 import {uptime} from 'node:os';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
+import {createSharedLoad, type SharedLoad} from './load.js';
 import {createModelKnowledge, type ModelKnowledge} from './models.js';
 import {createNotes} from './notes.js';
 import {createHolding, type Holding} from './holder.js';
@@ -30,6 +31,10 @@
   coldUntil: number;
   /** Requests of this node that run there. */
   inFlight: number;
+  /** Work of requests of this node without an answer yet. */
+  pendingWork: number;
+  /** Requests of this node whose answers are being passed on. */
+  streaming: number;
   /** Load that it reported last, and when. */
   load?: ReportedLoad & {readonly at: number};
   /** Sends of this node since that report. */
@@ -79,6 +84,7 @@
   readonly orders: Map<string, KnownOrder>;
   readonly versions: Versions;
   readonly models: ModelKnowledge;
+  readonly load: SharedLoad;
   readonly holding: Holding;
   readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
@@ -136,6 +142,7 @@
     orders: new Map(),
     versions: createVersions(),
     models: createModelKnowledge(),
+    load: createSharedLoad(),
     holding: createHolding(),
     peers: {},
     retries: new Map(),
--- a/apps/router/src/entry/relay.ts
+++ b/apps/router/src/entry/relay.ts
@@ -19,9 +19,7 @@
 }
 
 /** Reads a body to its end; `undefined` when it is cut or too large. */
-export async function collect(
-  body: AnswerBody,
-): Promise<Buffer | undefined> {
+export async function collect(body: AnswerBody): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let size = 0;
   try {
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -6,29 +6,25 @@
   type ChoiceWeights,
   type UpstreamCandidate,
 } from '@parsleyarch/policy/upstream-choice';
+import {readingWork} from '@parsleyarch/policy/work';
 import type {PooledService} from '@parsleyarch/resource/routing';
 import type {Exchange} from './exchange.js';
+import {workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {allowsVersion} from './versions.js';
 
 /** Time for which a failure of an upstream counts, milliseconds. */
 const FAILURE_MEMORY_MS = 4_000;
-/** Age after which a reported load no longer says anything, milliseconds. */
-const LOAD_MEMORY_MS = 3_000;
 /** Time for which a sent prompt part is taken to be cached, milliseconds. */
 const PART_MEMORY_MS = 10_000;
 /** Share of the cold limit that is used, as nodes may be unknown. */
 const COLD_SHARE = 0.8;
 
-const ENGINE_WEIGHTS: ChoiceWeights = {
-  otherDomain: 4,
-  reading: 0.4,
-  failure: 12,
-};
+const ENGINE_WEIGHTS: ChoiceWeights = {otherDomain: 1, failure: 8, jitter: 1};
 const SERVICE_WEIGHTS: ChoiceWeights = {
-  otherDomain: 2,
-  reading: 0,
-  failure: 8,
+  otherDomain: 0.5,
+  failure: 3,
+  jitter: 0.3,
 };
 
 function dropOlder(times: number[], oldest: number): void {
@@ -53,13 +49,6 @@
   return recent >= sends;
 }
 
-function estimateLoad(node: EntryNode, state: UpstreamState): number {
-  const {load} = state;
-  if (!load || node.clock() - load.at > LOAD_MEMORY_MS) return state.inFlight;
-  const reported = load.running + load.waiting + state.sentSinceReport;
-  return Math.max(state.inFlight, reported);
-}
-
 /** A part is cached only after the parts before it, for the same model. */
 function partKeys(model: string, parts: readonly PromptPart[]): string[] {
   const keys: string[] = [];
@@ -99,42 +88,61 @@
   return undefined;
 }
 
+/** An upstream with the work that the request makes there. */
+export interface Selection {
+  readonly upstream: UpstreamState;
+  readonly work: number;
+}
+
+function relativeCostOf(
+  service: PooledService | undefined,
+  {route}: Exchange,
+  model: string,
+): number {
+  const largest = service?.modelCosts.get(route.models.at(-1) ?? model);
+  const cost = service?.modelCosts.get(model);
+  return largest === undefined || cost === undefined ? 1 : cost / largest;
+}
+
 /** Chooses an upstream; `undefined` when none may or can take the request. */
 export function selectUpstream(
   node: EntryNode,
   exchange: Exchange,
   model = '',
-): UpstreamState | undefined {
+): Selection | undefined {
   const service = node.routes?.table.services.get(exchange.service);
   const keys = partKeys(model, exchange.caller.parts);
   const now = node.clock();
+  const relativeCost = relativeCostOf(service, exchange, model);
   const candidates: UpstreamCandidate[] = [];
   for (const state of node.upstreams.values()) {
     if (findObstacle(node, exchange, state)) continue;
     dropOlder(state.failures, now - FAILURE_MEMORY_MS);
+    const unread = unreadTokens(node, state, exchange, keys);
     candidates.push({
       id: state.registered.id,
       sameDomain:
         state.registered.failureDomain === node.settings.failureDomain,
-      load: estimateLoad(node, state),
-      slots: state.registered.slots,
+      present: workAt(node, state),
+      added: readingWork(unread, relativeCost),
       failures: state.failures.length,
       coldFull: isColdFull(node, service, state),
-      unreadTokens: unreadTokens(node, state, exchange, keys),
     });
   }
   const weights = service?.isEngine ? ENGINE_WEIGHTS : SERVICE_WEIGHTS;
   const choice = chooseCandidate(candidates, weights, node.random);
-  const chosen = choice && node.upstreams.get(choice.id);
+  const chosen = candidates.find(({id}) => id === choice?.id);
   node.note('select', {
     requestId: exchange.caller.attemptId,
     candidates: candidates.length,
     choice: choice?.id,
     cost: choice && Math.round(choice.cost * 10) / 10,
+    present: chosen && Math.round(chosen.present * 10) / 10,
     coldFull: candidates.filter(({coldFull}) => coldFull).length,
     model,
   });
-  return chosen;
+  const upstream = choice && node.upstreams.get(choice.id);
+  return upstream && {upstream, work: chosen?.added ?? 0};
 }
 
 /** Time over which sends are kept for the cold limit, milliseconds. */
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -15,6 +15,7 @@
   listen,
 } from './ingress.js';
 import {answerConsultation, followRollouts} from './holder.js';
+import {collectLoad, shareLoads} from './load.js';
 import {keepRegistered, ownFollower} from './membership.js';
 import {createEntryNode, type EntryNode} from './node.js';
 import type {EntrySettings} from './settings.js';
@@ -64,6 +65,7 @@
   try {
     const server = await listenForPeers(node.settings.peers, key, {
       consult: consultation => answerConsultation(node, consultation),
+      shareLoad: report => collectLoad(node, report),
     });
     own(node.manager, 'peer-listener', () => closePeerServer(server));
   } catch (thrown) {
@@ -89,6 +91,7 @@
   void follow(node, ownFollower(node));
   keepRegistered(node);
   followRollouts(node);
+  shareLoads(node);
   const known = Promise.all([
     follow(node, upstreamFollower(node)),
     follow(node, orderFollower(node)),
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -5,7 +5,11 @@
   type Tally,
   type VersionTally,
 } from '@parsleyarch/policy/rollout';
-import {isMoved, Phase, type RolloutPlan} from '@parsleyarch/policy/rollout-plan';
+import {
+  isMoved,
+  Phase,
+  type RolloutPlan,
+} from '@parsleyarch/policy/rollout-plan';
 import {createHash} from 'node:crypto';
 import type {Outcome} from './attempt.js';
 import type {Exchange} from './exchange.js';
@@ -118,11 +122,7 @@
   return kept.has(session) ? Side.old : Side.fresh;
 }
 
-function sideOf(
-  node: EntryNode,
-  order: KnownOrder,
-  exchange: Exchange,
-): Side {
+function sideOf(node: EntryNode, order: KnownOrder, exchange: Exchange): Side {
   const plan = planOf(node, order);
   if (!plan || plan.phase === Phase.waiting || plan.phase === Phase.reverted)
     return Side.old;
--- a/apps/router/src/peering.ts
+++ b/apps/router/src/peering.ts
@@ -9,7 +9,9 @@
 import {answerAsks, takeHandover} from './stewards.js';
 
 /** Handlers of the peer listener. */
-export function peerHandlers(node: RouterNode): Omit<PeerHandlers, 'consult'> {
+export function peerHandlers(
+  node: RouterNode,
+): Omit<PeerHandlers, 'consult' | 'shareLoad'> {
   return {
     beats: () => ({beats: beatsToTell(node)}),
     fetchEntries: ({revision}) => entriesAfter(node, revision),
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -131,6 +131,23 @@
 export interface Advice {
   readonly kept: readonly KeptSessions[];
 }
+/** What one node, or several, have sent to an upstream. */
+export interface UpstreamLoad {
+  readonly upstream: string;
+  /** Work of requests without an answer yet; see policy/work.ts. */
+  readonly pending: number;
+  /** Requests whose answers are being passed on. */
+  readonly streaming: number;
+}
+/** What one node has sent where. */
+export interface LoadReport {
+  readonly node: string;
+  readonly loads: readonly UpstreamLoad[];
+}
+/** Sums over the other nodes. */
+export interface LoadSummary {
+  readonly loads: readonly UpstreamLoad[];
+}
 /** An answer without content. */
 export type Ack = Record<string, never>;
 
@@ -146,6 +163,7 @@
   shareEvidence: [Evidence, Ack];
   explain: [ExplainAsk, Explanation];
   consult: [Consultation, Advice];
+  shareLoad: [LoadReport, LoadSummary];
 }
 
 /** Name of a call between nodes. */
--- a/packages/policy/src/upstream-choice.ts
+++ b/packages/policy/src/upstream-choice.ts
@@ -1,7 +1,7 @@
 /**
  * Which upstream gets a request: the one with the least estimated work, where
- * distance and the loss of cached prompt parts count as work. Answers the load
- * of a normal day; upstreams that fail are ranked last, never hidden, so that
+ * distance and recent failures count as work. Answers the load of a normal day
+ * and short bursts; upstreams that fail are ranked last, never hidden, so that
  * a service whose upstreams all fail is still tried.
  */
 
@@ -9,23 +9,22 @@
 export interface UpstreamCandidate {
   readonly id: string;
   readonly sameDomain: boolean;
-  /** Requests estimated to run or wait there, all nodes together. */
-  readonly load: number;
-  readonly slots: number;
+  /** Work that is there already, all nodes together. */
+  readonly present: number;
+  /** Work that the request would make there. */
+  readonly added: number;
   /** Recent failures, each counted for a short time. */
   readonly failures: number;
   /** Whether its cold limit has no room for this node now. */
   readonly coldFull: boolean;
-  /** Prompt tokens that it has to read, as far as is known. */
-  readonly unreadTokens: number;
 }
 
-/** How much work each disadvantage counts for, in running requests. */
+/** What disadvantages count for, as work. */
 export interface ChoiceWeights {
   readonly otherDomain: number;
-  /** For each thousand prompt tokens to read. */
-  readonly reading: number;
   readonly failure: number;
+  /** Largest random addition, which keeps nodes from choosing alike. */
+  readonly jitter: number;
 }
 
 /** A choice with what decided it. */
@@ -37,21 +36,12 @@
 function costOf(
   candidate: UpstreamCandidate,
   weights: ChoiceWeights,
-  jitter: number,
+  draw: number,
 ): number {
   const distance = candidate.sameDomain ? 0 : weights.otherDomain;
-  const reading = (candidate.unreadTokens / 1_000) * weights.reading;
-  // Work grows faster than in proportion as the slots fill up.
-  const fullness = candidate.load / candidate.slots;
-  const crowding = fullness > 0.8 ? (fullness - 0.8) * candidate.slots * 4 : 0;
-  return (
-    candidate.load +
-    crowding +
-    distance +
-    reading +
-    candidate.failures * weights.failure +
-    jitter
-  );
+  const failing = candidate.failures * weights.failure;
+  const work = candidate.present + candidate.added;
+  return work + distance + failing + draw * weights.jitter;
 }
 
 /** Chooses among candidates; `undefined` when none has room. */
@@ -69,7 +59,7 @@
   return best;
 }
 
-/** Sends in one second that a node may make to a cold upstream. */
+/** Sends that a node may make to a cold upstream, and in what time. */
 export function coldAllowance(
   boundPerSecond: number,
   nodes: number,
