--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -46,6 +46,8 @@
 const SLOW_SHARE = 1.5;
 /** Pauses between events, in objectives, after which a stream moves on. */
 const STALLED_PAUSES = 2;
+/** Priorities that are told apart at an upstream, for each size of model. */
+const PRIORITIES = 4;
 /** When a caller may find room again, milliseconds. */
 const RETRY_AFTER_MS = 300;
 
@@ -117,6 +119,18 @@
   }
 }
 
+/**
+ * Small models go before large ones: their answers decide what else is asked,
+ * and short work first shortens the wait of all.
+ */
+function urgencyOf(exchange: Exchange, model?: string): number {
+  const rank = Math.max(0, priorityOf(exchange));
+  const {models} = exchange.route;
+  const isFirst = model === undefined || model === models[0];
+  const base = isFirst ? 0 : PRIORITIES;
+  return base + Math.min(PRIORITIES - 1, rank);
+}
+
 function start(
   node: EntryNode,
   exchange: Exchange,
@@ -138,7 +152,7 @@
       customer: exchange.customer?.name,
       deadlineMs: Math.floor(exchange.endsAt - node.clock()),
       model,
-      urgency: Math.min(9, Math.max(0, priorityOf(exchange))),
+      urgency: urgencyOf(exchange, model),
       lastEventId,
     },
   );
