Notice a reset that arrives together with the last bytes

The socket of a reset connection has no peer address; that is checked at its end. Ruled out: an orderly close by the upstream (peer address present, answer whole). Test: 'a reset together with the last bytes never looks whole' failed before.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -93,6 +93,24 @@
   return {kind: 'lost', reason: fault};
 }
 
+function endsWithConnection({headers}: http.IncomingMessage): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
+/**
+ * A reset that arrives together with the last bytes is reported as an ordinary
+ * end. The socket of a reset connection no longer has a peer address.
+ */
+function watchForReset(body: AnswerBody): void {
+  const {socket} = body.message;
+  socket.prependListener('end', () => {
+    if (socket.remoteAddress === undefined) body.broken = true;
+  });
+}
+
 /** Sends a request on a connection of its own. */
 export function startAttempt(
   node: EntryNode,
@@ -137,12 +155,13 @@
     let body: AnswerBody | undefined;
     sent.on('response', message => {
       body = {message, broken: false};
+      if (endsWithConnection(message)) watchForReset(body);
       upstream.pendingWork -= work;
       upstream.streaming += 1;
       resolve(judge(exchange, body));
     });
     sent.on('error', error => {
-      if (body) body.broken = true;
+      if (body && endsWithConnection(body.message)) body.broken = true;
       fail(error);
     });
     sent.on('close', () => {
--- a/apps/router/test/entry/answers.test.ts
+++ b/apps/router/test/entry/answers.test.ts
@@ -55,6 +55,25 @@
   },
 );
 
+test.serial(
+  'a reset together with the last bytes never looks whole',
+  async t => {
+    scriptAll((seen, response) => {
+      const {socket} = response;
+      const head =
+        `HTTP/1.1 200 OK\r\nX-Parsleyarch-Attempt-Id: ${seen.attempt}\r\n` +
+        'X-Parsleyarch-Runner-Seal: s\r\nConnection: close\r\n\r\npart';
+      // Both reach the node before its event loop reads either.
+      socket!.write(head, () => socket!.resetAndDestroy());
+    });
+    const answer = await call(site.entries[0], {
+      path: '/once/x',
+      method: 'POST',
+    });
+    t.not(answer.status, 200);
+  },
+);
+
 test.serial('an answer without length that ends is whole', async t => {
   scriptAll((seen, response) => {
     response.socket!.end(
