Charge larger models for the work that waits at their upstream

Cause: under load half of the requests asked the largest model, ten times the work of the smallest, and header times grew to a second.

--- a/apps/router/src/entry/models.ts
+++ b/apps/router/src/entry/models.ts
@@ -6,6 +6,7 @@
 } from '@parsleyarch/policy/model-choice';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
+import {leastWork} from './selection.js';
 
 /** Cost of the largest model as a share of an answer's value. */
 const LARGEST_COST = 0.16;
@@ -77,6 +78,7 @@
   const costs = node.routes?.table.services.get(service)?.modelCosts;
   const largest = route.models.at(-1) ?? name;
   const top = costs?.get(largest) ?? 1;
+  const presentWork = leastWork(node, exchange);
   const firstGain = name === largest ? FIRST_GAIN_LARGEST : FIRST_GAIN_NEXT;
   return {
     name,
@@ -84,6 +86,7 @@
     expectedMs:
       node.models.times.get(`${route.name}/${name}`) ??
       route.objectiveMs * FIRST_EXPECTED_SHARE,
+    presentWork,
     confidenceGain: node.models.gains.get(`${asked}/${name}`) ?? firstGain,
   };
 }
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -104,6 +104,17 @@
   return largest === undefined || cost === undefined ? 1 : cost / largest;
 }
 
+/** Work at the least loaded upstream that the request may use. */
+export function leastWork(node: EntryNode, exchange: Exchange): number {
+  let least = Infinity;
+  for (const state of node.upstreams.values()) {
+    const obstacle = findObstacle(node, exchange, state);
+    if (obstacle && obstacle !== 'tried') continue;
+    least = Math.min(least, workAt(node, state));
+  }
+  return least === Infinity ? 0 : least;
+}
+
 /** Chooses an upstream; `undefined` when none may or can take the request. */
 export function selectUpstream(
   node: EntryNode,
--- a/packages/policy/src/model-choice.ts
+++ b/packages/policy/src/model-choice.ts
@@ -2,7 +2,8 @@
  * Which of a route's models answers, smallest first. A small model answers
  * first; where its confidence makes a larger one worth its cost and time, the
  * answer is dropped before any of it has gone out. Under load the expected time
- * of larger models grows, so that fewer requests are sent on to them.
+ * of larger models and what they take from other requests grow, so that fewer
+ * requests are sent on to them.
  */
 
 /** A model as a choice. */
@@ -12,6 +13,8 @@
   readonly cost: number;
   /** Expected time to the header of its answer, milliseconds. */
   readonly expectedMs: number;
+  /** Work that waits at the upstream which would be asked. */
+  readonly presentWork: number;
   /** Confidence that it is expected to have above the asked model's. */
   readonly confidenceGain: number;
 }
@@ -34,6 +37,10 @@
 const POOR_VALUE = 0.05;
 /** Spread of the time to a header, as a share of what is expected. */
 const TIME_SPREAD = 0.5;
+/** Work at an upstream up to which more of it delays nobody much. */
+const FREE_WORK = 3;
+/** Value lost by other requests for each unit of work beyond that. */
+const CROWDING_COST = 0.04;
 /** Gain under which a second model is not worth the work it makes. */
 const MIN_GAIN = 0.05;
 
@@ -69,7 +76,10 @@
   option: ModelOption,
 ): number {
   const chance = chanceGood(answer.confidence + option.confidenceGain);
-  return valueOf(chance) * valueInTime(answer, option.expectedMs) - option.cost;
+  const crowding =
+    Math.max(0, option.presentWork - FREE_WORK) * CROWDING_COST;
+  const value = valueOf(chance) * valueInTime(answer, option.expectedMs);
+  return value - option.cost - crowding;
 }
 
 /** The model to ask in place of an answer; `undefined`: the answer stands. */
