Count only whole buckets of first sends in the retry window

Cause: found by a property test: first sends up to a bucket older than the window raised the budget. Stakes of 4 and 12 join the test of versions: a version that fails 6 of 12 requests was not reverted before.

--- a/packages/policy/src/retry-window.ts
+++ b/packages/policy/src/retry-window.ts
@@ -41,14 +41,14 @@
   return bucket;
 }
 
+/** First sends surely within the window, and repeats that may be. */
 function sum(window: RetryWindow, now: number) {
-  const oldest = (now - window.bounds.windowMs) / BUCKET_MS - 1;
+  const begin = (now - window.bounds.windowMs) / BUCKET_MS;
   let first = 0;
   let repeated = 0;
   for (const [number, bucket] of window.buckets) {
-    if (number < oldest) continue;
-    first += bucket.first;
-    repeated += bucket.repeated;
+    if (number >= begin) first += bucket.first;
+    if (number + 1 >= begin) repeated += bucket.repeated;
   }
   return {first, repeated};
 }
--- a/packages/policy/src/rollout.ts
+++ b/packages/policy/src/rollout.ts
@@ -33,8 +33,8 @@
 /** Difference in the rate of bad outcomes that is still accepted. */
 const TOLERANCE = 0.01;
 
-/** Stakes that are mixed; small ones see small differences. */
-const STAKES = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6] as const;
+/** Stakes that are mixed; small ones see small differences, large ones soon. */
+const STAKES = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 4, 12] as const;
 
 /** Upper end of the old version's rate, two standard errors up. */
 function upperRate({seen, bad}: Tally): number {
--- /dev/null
+++ b/packages/policy/test/rollout-plan.test.ts
@@ -0,0 +1,123 @@
+import {
+  firstPlan,
+  isMoved,
+  isOver,
+  nextChange,
+  Phase,
+  type RolloutPlan,
+  type RolloutView,
+} from '@parsleyarch/policy/rollout-plan';
+import type {VersionTally} from '@parsleyarch/policy/rollout';
+import test from 'ava';
+import fc from 'fast-check';
+
+const tally = (seen: number, failed = 0, slow = 0): VersionTally => ({
+  error: {seen, bad: failed},
+  latency: {seen, bad: slow},
+  rating: {seen: 0, bad: 0},
+});
+const plan = (change: Partial<RolloutPlan> = {}): RolloutPlan => ({
+  ...firstPlan(1, 's', 'v2'),
+  ...change,
+});
+const view = (change: Partial<RolloutView> = {}): RolloutView => ({
+  plan: plan(),
+  elapsedMs: 1_000,
+  durationMs: 20_000,
+  planAgeMs: 5_000,
+  freshReady: 6,
+  oldReady: 6,
+  fresh: tally(30),
+  old: tally(300),
+  freshRecent: tally(10),
+  followed: true,
+  oldInFlight: 0,
+  exposeShare: 0.15,
+  ...change,
+});
+
+test('nothing moves before the new upstreams are ready', t => {
+  t.is(nextChange(view({freshReady: 0})), undefined);
+  t.like(nextChange(view()), {phase: Phase.canary});
+});
+
+test('the canary stays under the allowed exposure through the first half', t => {
+  const change = nextChange(view());
+  t.true(change!.share < 0.15);
+  const canary = plan({phase: Phase.canary, share: 0.1});
+  t.is(nextChange(view({plan: canary, elapsedMs: 9_900})), undefined);
+  t.like(nextChange(view({plan: canary, elapsedMs: 10_500})), {
+    phase: Phase.ramp,
+  });
+});
+
+test('the ramp waits until every node follows', t => {
+  const ramp = plan({phase: Phase.ramp, share: 0.3});
+  t.is(nextChange(view({plan: ramp, followed: false})), undefined);
+  t.true(nextChange(view({plan: ramp}))!.share > 0.3);
+});
+
+for (const [label, change] of Object.entries({
+  'fails at once': {fresh: tally(12, 6), freshRecent: tally(12, 6)},
+  'is slow': {fresh: tally(12, 0, 9), freshRecent: tally(12, 0, 9)},
+  'fails late': {fresh: tally(150, 9), freshRecent: tally(14, 9)},
+}))
+  test(`a version that ${label} is reverted`, t => {
+    const canary = plan({phase: Phase.canary, share: 0.1});
+    t.like(nextChange(view({plan: canary, ...change})), {
+      phase: Phase.reverted,
+      share: 0,
+    });
+  });
+
+test('it is complete only when nothing runs on the old version, or time is over', t => {
+  const all = plan({phase: Phase.ramp, share: 1});
+  t.is(nextChange(view({plan: all, oldInFlight: 2})), undefined);
+  t.like(nextChange(view({plan: all})), {phase: Phase.complete});
+  t.like(nextChange(view({plan: all, oldInFlight: 2, elapsedMs: 19_500})), {
+    phase: Phase.complete,
+  });
+});
+
+test('an equal version is always completed in time, whatever the counts', t => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 12, max: 400}),
+      fc.integer({min: 0, max: 5}),
+      (seen, percent) => {
+        let current = plan();
+        const bad = Math.floor((seen * percent) / 100);
+        for (let ms = 0; ms < 20_000 && !isOver(current); ms += 400) {
+          const change = nextChange(
+            view({
+              plan: current,
+              elapsedMs: ms,
+              planAgeMs: 1_200,
+              fresh: tally(seen, bad),
+              old: tally(300, 3 * percent),
+              freshRecent: tally(0),
+            }),
+          );
+          if (change) current = {...current, ...change};
+        }
+        return current.phase === Phase.complete;
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('a growing share only adds sessions', t => {
+  fc.assert(
+    fc.property(
+      fc.stringMatching(/^[0-9a-f]{16}$/),
+      fc.double({min: 0, max: 1, noNaN: true}),
+      fc.double({min: 0, max: 1, noNaN: true}),
+      (hash, a, b) => {
+        const [less, more] = a < b ? [a, b] : [b, a];
+        return !isMoved(hash, less) || isMoved(hash, more);
+      },
+    ),
+  );
+  t.pass();
+});
