--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -13,6 +13,9 @@
 
 /** Longest age of a confirmation of the configuration, milliseconds. */
 const CONFIRM_MS = 1_000;
+/** Pauses in which changes are gathered, milliseconds. */
+const ORDER_GATHER_MS = 50;
+const UPSTREAM_GATHER_MS = 300;
 /** Longest wait of the other watches, milliseconds. */
 const WATCH_MS = 20_000;
 /** Time in which entries that lapsed during an outage come back, milliseconds. */
@@ -96,6 +99,7 @@
     name: 'orders',
     prefix: KEY.orders,
     waitMs: CONFIRM_MS,
+    gatherMs: ORDER_GATHER_MS,
     reset(items) {
       const keys = new Set(items.map(({key}) => key));
       for (const domain of [...node.evacuated]) {
@@ -183,6 +187,7 @@
     name: 'upstreams',
     prefix: KEY.upstreams,
     waitMs: WATCH_MS,
+    gatherMs: UPSTREAM_GATHER_MS,
     reset(items) {
       const keys = new Set(items.map(({key}) => key));
       for (const id of [...node.upstreams.keys()]) {
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -20,6 +20,8 @@
 
 /** Time after which a refused caller may find things changed, milliseconds. */
 const RETRY_AFTER_MS = 300;
+/** The same while the store is away, which is rarely over at once. */
+const STALE_RETRY_AFTER_MS = 1_200;
 
 /** A request that is being served. */
 export interface Exchange {
@@ -75,7 +77,9 @@
 }
 
 function refuse(kind: FailureKind, message: string): Failure {
-  const retryAfterMs = ANSWERS[kind].retryable ? RETRY_AFTER_MS : undefined;
+  if (!ANSWERS[kind].retryable) return failure(kind, message);
+  const retryAfterMs =
+    kind === 'stale-configuration' ? STALE_RETRY_AFTER_MS : RETRY_AFTER_MS;
   return failure(kind, message, {retryAfterMs});
 }
 
--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -11,10 +11,9 @@
 } from '@parsleyarch/store/keyspace';
 import type {EntryNode} from './node.js';
 
-/** Pause after a failed call, milliseconds. */
-const RETRY_MS = 250;
-/** Pause between watches, so that changes in a row share one call. */
-const GATHER_MS = 60;
+/** Shortest and longest pause after a failed call, milliseconds. */
+const MIN_RETRY_MS = 200;
+const MAX_RETRY_MS = 1_000;
 
 /** What is done with the changes of a prefix. */
 export interface Follower {
@@ -22,6 +21,8 @@
   readonly prefix: string;
   /** Longest wait of one watch, milliseconds. */
   readonly waitMs: number;
+  /** Pause between watches, so that changes in a row share one call. */
+  readonly gatherMs: number;
   /** Takes all items of the prefix in place of what was known. */
   reset(items: readonly StoredItem[]): void;
   /** Takes one change. */
@@ -35,6 +36,8 @@
   /** Revision up to which changes are known; absent: read all first. */
   revision?: number;
   reachable: boolean;
+  /** Pause after the next failed call, milliseconds. */
+  retryMs: number;
 }
 
 function noteReach(
@@ -43,6 +46,7 @@
   reached: boolean,
   reason = '',
 ): void {
+  if (reached) following.retryMs = MIN_RETRY_MS;
   if (following.reachable === reached) return;
   following.reachable = reached;
   const {name} = following.follower;
@@ -54,12 +58,19 @@
   }
 }
 
+/** Each call counts, so the pause doubles while the store stays away. */
+function pauseAfterFailure(following: Following): Promise<void> {
+  const pauseMs = following.retryMs;
+  following.retryMs = Math.min(MAX_RETRY_MS, pauseMs * 2);
+  return wait(pauseMs);
+}
+
 async function readPrefix(node: EntryNode, following: Following) {
   const {follower} = following;
   const sentAt = node.readClocks();
   const all = await readAll(node.keyspace, follower.prefix);
   noteReach(node, following, all.isOk(), all.isErr() ? all.error.message : '');
-  if (all.isErr()) return wait(RETRY_MS);
+  if (all.isErr()) return pauseAfterFailure(following);
   following.revision = all.value.revision;
   follower.reset(all.value.items);
   follower.confirmed?.(sentAt);
@@ -84,7 +95,7 @@
     changes.isOk(),
     changes.isErr() ? changes.error.message : '',
   );
-  if (changes.isErr()) return wait(RETRY_MS);
+  if (changes.isErr()) return pauseAfterFailure(following);
   if (!changes.value) {
     node.log.warn({source: follower.name, revision}, 'history gone');
     following.revision = undefined;
@@ -99,7 +110,11 @@
 
 /** Follows a prefix until the node stops; resolves after the first full read. */
 export function follow(node: EntryNode, follower: Follower): Promise<void> {
-  const following: Following = {follower, reachable: true};
+  const following: Following = {
+    follower,
+    reachable: true,
+    retryMs: MIN_RETRY_MS,
+  };
   return new Promise(resolve => {
     const step = async () => {
       if (following.revision === undefined) {
@@ -107,7 +122,7 @@
         if (following.revision !== undefined) resolve();
       } else await watchPrefix(node, following, following.revision);
     };
-    const running = repeat(GATHER_MS, step, error =>
+    const running = repeat(follower.gatherMs, step, error =>
       node.log.error({source: follower.name, error: String(error)}, 'failed'),
     );
     // A pending watch ends when the client's connections are closed.
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -25,6 +25,8 @@
 const RENEW_MS = 3_000;
 /** Longest wait of a watch, milliseconds. */
 const WATCH_MS = 20_000;
+/** Pause in which changes are gathered, milliseconds. */
+const GATHER_MS = 250;
 const PEER_KEY_BYTES = 24;
 const MEMBERS = `${KEY.own}nodes/`;
 const PEER_KEY = `${KEY.own}peer-key`;
@@ -159,6 +161,7 @@
     name: 'own',
     prefix: KEY.own,
     waitMs: WATCH_MS,
+    gatherMs: GATHER_MS,
     reset(items) {
       node.members.clear();
       if (!items.some(({key}) => isHolderKey(key)))
