Keep repeats for failures, pass over unreachable upstreams, hold the ramp

Larger models are asked only while four repeats are left; an upstream without a connection is passed over for 0.5 to 2 s; the ramp holds at half so that both versions' upstreams serve.

--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -129,6 +129,8 @@
     streaming: 0,
     sentSinceReport: 0,
     failures: [],
+    downUntil: 0,
+    downMs: 0,
     sends: [],
     lastAnswerAt: 0,
     parts: new Map(),
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -9,6 +9,7 @@
 import {
   countFirst,
   createRetryWindow,
+  retriesLeft,
   takeRepeat,
   type RetryWindow,
 } from '@parsleyarch/policy/retry-window';
@@ -26,6 +27,7 @@
 import {endWithFailure, noteEnd} from './reply.js';
 import {
   noteFailure,
+  noteReach,
   noteSend,
   selectUpstream,
   type Selection,
@@ -48,6 +50,11 @@
 const STALLED_PAUSES = 2;
 /** Priorities that are told apart at an upstream, for each size of model. */
 const PRIORITIES = 4;
+/** Parts of the retry bounds that are used. */
+const RATIO_PART = 0.92;
+const SLACK_PART = 0.7;
+/** Repeats that are kept for failures when a larger model could be asked. */
+const REPEATS_FOR_FAILURES = 4;
 /** When a caller may find room again, milliseconds. */
 const RETRY_AFTER_MS = 300;
 
@@ -74,11 +81,11 @@
   const known = node.retries.get(service);
   if (known) return known;
   const {ratio, windowSeconds, slack} = node.settings.retries;
-  // Nodes share the slack; half of it stays for nodes that are not known yet.
+  // Nodes share the slack; a part stays for nodes that are not known yet.
   const window = createRetryWindow({
     windowMs: windowSeconds * 1_000,
-    ratio: ratio * 0.85,
-    slack: slack / (2 * Math.max(1, node.mostMembers)),
+    ratio: ratio * RATIO_PART,
+    slack: (slack * SLACK_PART) / Math.max(1, node.mostMembers),
   });
   node.retries.set(service, window);
   return window;
@@ -205,6 +212,7 @@
   const failed =
     outcome.kind !== 'answer' || (outcome.answer?.status ?? 0) >= 500;
   if (failed && !exchange.ended) noteFailure(node, upstream);
+  noteReach(node, upstream, outcome.kind);
   noteOutcome(node, exchange, upstream, {outcome, tookMs, model});
   node.note('attempt', {
     requestId: exchange.caller.attemptId,
@@ -363,10 +371,14 @@
   const elapsedMs = node.clock() - exchange.startedAt;
   if (progress.dropped) noteGain(node, progress.dropped, {model, confidence});
   const judged = {confidence, elapsedMs, objectiveMs};
-  const larger =
-    isRepeatable(exchange) && exchange.runs < maxAttempts
-      ? chooseLarger(node, exchange, model, judged)
-      : undefined;
+  const window = retryWindowOf(node, exchange.service);
+  const mayAsk =
+    isRepeatable(exchange) &&
+    exchange.runs < maxAttempts &&
+    retriesLeft(window, node.clock()) > REPEATS_FOR_FAILURES;
+  const larger = mayAsk
+    ? chooseLarger(node, exchange, model, judged)
+    : undefined;
   node.metrics.models.inc({model, use: larger ? 'dropped' : 'passed'});
   node.note('model', {
     requestId: exchange.caller.attemptId,
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -41,6 +41,9 @@
   sentSinceReport: number;
   /** Times of recent failures, oldest first. */
   failures: number[];
+  /** Until when it is passed over, as no connection came about. */
+  downUntil: number;
+  downMs: number;
   /** Times of recent sends, oldest first; kept for the cold limit. */
   sends: number[];
   lastAnswerAt: number;
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -15,6 +15,9 @@
 
 /** Time for which a failure of an upstream counts, milliseconds. */
 const FAILURE_MEMORY_MS = 4_000;
+/** Time for which an upstream is passed over when no connection came about. */
+const MIN_DOWN_MS = 500;
+const MAX_DOWN_MS = 2_000;
 /** Time for which a sent prompt part is taken to be cached, milliseconds. */
 const PART_MEMORY_MS = 10_000;
 /** Share of the cold limit that is used, as nodes may be unknown. */
@@ -137,6 +140,7 @@
       present: workAt(node, state),
       added: readingWork(unread, relativeCost),
       failures: state.failures.length,
+      down: now < state.downUntil,
       coldFull: isColdFull(node, service, state),
     });
   }
@@ -182,6 +186,18 @@
   }
 }
 
+/** Notes whether an upstream could be connected to. */
+export function noteReach(
+  node: EntryNode,
+  state: UpstreamState,
+  outcome: 'unsent' | 'refused' | 'lost' | 'answer',
+): void {
+  if (outcome === 'answer' || outcome === 'refused') state.downMs = 0;
+  if (outcome !== 'unsent') return;
+  state.downMs = Math.min(MAX_DOWN_MS, Math.max(MIN_DOWN_MS, state.downMs * 2));
+  state.downUntil = node.clock() + state.downMs;
+}
+
 /** Notes that an upstream failed a request. */
 export function noteFailure(node: EntryNode, state: UpstreamState): void {
   state.failures.push(node.clock());
--- a/packages/policy/src/model-choice.ts
+++ b/packages/policy/src/model-choice.ts
@@ -76,8 +76,7 @@
   option: ModelOption,
 ): number {
   const chance = chanceGood(answer.confidence + option.confidenceGain);
-  const crowding =
-    Math.max(0, option.presentWork - FREE_WORK) * CROWDING_COST;
+  const crowding = Math.max(0, option.presentWork - FREE_WORK) * CROWDING_COST;
   const value = valueOf(chance) * valueInTime(answer, option.expectedMs);
   return value - option.cost - crowding;
 }
--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -59,8 +59,12 @@
 const CANARY_PART = 0.65;
 /** Part of the time after which sessions may move, a little over the half. */
 const MOVE_PART = 0.52;
-/** Shares of the ramp. */
-const RAMP = [0.3, 0.6, 1] as const;
+/** Shares of the ramp; at the middle one both versions' upstreams are in use. */
+const RAMP = [0.3, 0.5, 1] as const;
+/** Part of the time up to which the ramp stays at its middle share. */
+const HOLD_PART = 0.75;
+/** Time that is kept for requests on the old version to end, milliseconds. */
+const DRAIN_MS = 5_500;
 /** Shortest time at a share of the ramp, milliseconds. */
 const STEP_MS = 1_000;
 /** Requests that the version must have served before the ramp. */
@@ -109,6 +113,11 @@
   if (isDoubtful(view.freshRecent, view.old)) return undefined;
   const share = nextShare(plan.share);
   if (share === undefined) return undefined;
+  const holdUntil = Math.min(
+    view.durationMs * HOLD_PART,
+    view.durationMs - DRAIN_MS,
+  );
+  if (share === 1 && view.elapsedMs < holdUntil) return undefined;
   const reason = `${view.fresh.error.seen} requests without harm`;
   return {phase: Phase.ramp, share, reason};
 }
--- a/packages/policy/src/upstream-choice.ts
+++ b/packages/policy/src/upstream-choice.ts
@@ -15,6 +15,8 @@
   readonly added: number;
   /** Recent failures, each counted for a short time. */
   readonly failures: number;
+  /** Whether no connection to it came about just now. */
+  readonly down: boolean;
   /** Whether its cold limit has no room for this node now. */
   readonly coldFull: boolean;
 }
@@ -33,6 +35,9 @@
   readonly cost: number;
 }
 
+/** More work than any upstream ever has. */
+const UNREACHABLE_COST = 1_000;
+
 function costOf(
   candidate: UpstreamCandidate,
   weights: ChoiceWeights,
@@ -41,7 +46,8 @@
   const distance = candidate.sameDomain ? 0 : weights.otherDomain;
   const failing = candidate.failures * weights.failure;
   const work = candidate.present + candidate.added;
-  return work + distance + failing + draw * weights.jitter;
+  const unreachable = candidate.down ? UNREACHABLE_COST : 0;
+  return work + distance + failing + unreachable + draw * weights.jitter;
 }
 
 /** Chooses among candidates; `undefined` when none has room. */
--- a/packages/policy/test/entry.test.ts
+++ b/packages/policy/test/entry.test.ts
@@ -158,6 +158,7 @@
   present: 0,
   added: 0,
   failures: 0,
+  down: false,
   coldFull: false,
   ...change,
 });
@@ -190,6 +191,13 @@
   t.is(chooseCandidate([failing], WEIGHTS, () => 0)?.id, 'failing');
 });
 
+test('an upstream that cannot be reached is used only when all others are out', t => {
+  const down = candidate({id: 'down', down: true});
+  const busy = candidate({id: 'busy', present: 60, failures: 9});
+  t.is(chooseCandidate([down, busy], WEIGHTS, () => 0)?.id, 'busy');
+  t.is(chooseCandidate([down], WEIGHTS, () => 0)?.id, 'down');
+});
+
 test('a cold upstream without room is never chosen', t => {
   t.is(
     chooseCandidate([candidate({coldFull: true})], WEIGHTS, () => 0),
