--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -30,6 +30,10 @@
   jitter: 0.3,
 };
 
+const BYTES_PER_KB = 1_024;
+/** What a kilobyte that leaves the domain counts for, as work. */
+const WORK_PER_KB = 0.15;
+
 function dropOlder(times: number[], oldest: number): void {
   while (times.length > 0 && times[0] < oldest) times.shift();
 }
@@ -144,7 +148,9 @@
       coldFull: isColdFull(node, service, state),
     });
   }
-  const weights = service?.isEngine ? ENGINE_WEIGHTS : SERVICE_WEIGHTS;
+  const base = service?.isEngine ? ENGINE_WEIGHTS : SERVICE_WEIGHTS;
+  const sendingWork = (exchange.body.length / BYTES_PER_KB) * WORK_PER_KB;
+  const weights = {...base, otherDomain: base.otherDomain + sendingWork};
   const choice = chooseCandidate(candidates, weights, node.random);
   const chosen = candidates.find(({id}) => id === choice?.id);
   node.note('select', {
