Keep upstreams for 1.7 s when their entries lapse in an outage

Cause, found by a test of its own: a follower that did not call the store during an outage took a lapsed entry for a leave. Any follower's loss counts now, and the hold is bounded below the drain time. A silent upstream is given up only when another is left, found by the test of a planned stop.

--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -18,8 +18,10 @@
 const UPSTREAM_GATHER_MS = 300;
 /** Longest wait of the other watches, milliseconds. */
 const WATCH_MS = 20_000;
-/** Time in which entries that lapsed during an outage come back, milliseconds. */
-const RETURN_GRACE_MS = 2_000;
+/** Time after an outage in which entries may be missing, milliseconds. */
+const RETURN_MS = 2_000;
+/** Time for which an upstream without its entry is still used after that. */
+const MISSING_MS = 1_700;
 /** Allowance on a told cold time for the way of the report, milliseconds. */
 const COLD_MARGIN_MS = 500;
 
@@ -156,20 +158,25 @@
   );
 }
 
+/** Whether entries may have lapsed only because the store was away. */
+function isAfterOutage(node: EntryNode): boolean {
+  const returned = node.storeReturnedAt ?? -Infinity;
+  return node.storeLost.size > 0 || node.clock() - returned < RETURN_MS;
+}
+
 function removeUpstream(node: EntryNode, id: string): void {
   const state = node.upstreams.get(id);
-  if (!state) return;
-  const now = node.clock();
-  const returned = node.storeReturnedAt ?? -Infinity;
-  const graceLeft = returned + RETURN_GRACE_MS - now;
-  if (graceLeft > 0 && state.missingSince === undefined) {
-    // Its entry may have lapsed only because the store was away.
-    state.missingSince = now;
-    setTimeout(() => {
-      if (state.missingSince !== undefined) removeUpstream(node, id);
-    }, graceLeft).unref();
-    return;
-  }
+  if (!state || state.missingSince !== undefined) return;
+  if (!isAfterOutage(node)) return dropUpstream(node, id);
+  state.missingSince = node.clock();
+  const dropMissing = () => {
+    if (state.missingSince !== undefined) dropUpstream(node, id);
+  };
+  setTimeout(dropMissing, MISSING_MS).unref();
+  node.log.info({upstream: id}, 'upstream missing after an outage');
+}
+
+function dropUpstream(node: EntryNode, id: string): void {
   node.upstreams.delete(id);
   node.log.info({upstream: id}, 'upstream gone');
 }
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -26,6 +26,7 @@
 import {collect, createCutter, writeBytes, writeHead} from './relay.js';
 import {endWithFailure, noteEnd} from './reply.js';
 import {
+  hasOther,
   noteFailure,
   noteReach,
   noteSend,
@@ -168,18 +169,25 @@
 }
 
 /** Waits for the header of an answer as long as that is of use. */
-async function settle(exchange: Exchange, attempt: Attempt): Promise<Outcome> {
+async function settle(
+  node: EntryNode,
+  exchange: Exchange,
+  attempt: Attempt,
+): Promise<Outcome> {
   const {objectiveMs, maxAttempts} = exchange.route;
   const movable = isRepeatable(exchange) && exchange.runs < maxAttempts;
   const timers: NodeJS.Timeout[] = [];
   if (movable) {
     const giveUpIfSilent = () => {
-      if (attempt.upstream.lastAnswerAt < attempt.startedAt)
+      const silent = attempt.upstream.lastAnswerAt < attempt.startedAt;
+      if (silent && hasOther(node, exchange))
         attempt.cancel('upstream is silent', true);
     };
     const share = isStream(exchange) ? SILENT_ENGINE_SHARE : SILENT_SHARE;
     timers.push(setTimeout(giveUpIfSilent, objectiveMs * share));
-    const giveUp = () => attempt.cancel('no answer in time', true);
+    const giveUp = () => {
+      if (hasOther(node, exchange)) attempt.cancel('no answer in time', true);
+    };
     if (!isStream(exchange))
       timers.push(setTimeout(giveUp, objectiveMs * SLOW_SHARE));
   }
@@ -305,7 +313,7 @@
     const selection = selectUpstream(node, exchange, model);
     if (!selection) return undefined;
     const attempt = start(node, exchange, selection, model, lastEventId);
-    const outcome = await settle(exchange, attempt);
+    const outcome = await settle(node, exchange, attempt);
     learn(node, exchange, attempt, outcome, model);
     if (outcome.kind === 'refused' || outcome.kind === 'unsent')
       exchange.runs -= 1;
@@ -456,7 +464,7 @@
     return Step.stop;
   }
   const attempt = start(node, exchange, selection, progress.model);
-  const outcome = await settle(exchange, attempt);
+  const outcome = await settle(node, exchange, attempt);
   learn(node, exchange, attempt, outcome, progress.model);
   if (exchange.ended) {
     if (outcome.kind === 'answer') outcome.body.message.destroy();
--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -51,9 +51,11 @@
   following.reachable = reached;
   const {name} = following.follower;
   if (reached) {
+    node.storeLost.delete(name);
     node.storeReturnedAt = node.clock();
     node.log.info({source: name}, 'store regained');
   } else {
+    node.storeLost.add(name);
     node.log.warn({source: name, reason}, 'store lost');
   }
 }
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -97,6 +97,8 @@
   mostMembers: number;
   /** Confirmation that the configuration is current; see `freshness.ts`. */
   confirmed?: {readonly monotonic: number; readonly uptimeSeconds: number};
+  /** Sources of the store that cannot be reached now. */
+  readonly storeLost: Set<string>;
   /** When the store was reached again after it had been lost. */
   storeReturnedAt?: number;
   /** Writes a decision line, unless the rate limit drops it. */
@@ -151,6 +153,7 @@
     retries: new Map(),
     members: new Map(),
     mostMembers: 1,
+    storeLost: new Set(),
     onTable: () => {},
     onPeerKey: () => {},
     readClocks: () => ({
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -111,6 +111,14 @@
   return largest === undefined || cost === undefined ? 1 : cost / largest;
 }
 
+/** Whether an upstream is left to which the request was not sent yet. */
+export function hasOther(node: EntryNode, exchange: Exchange): boolean {
+  for (const state of node.upstreams.values()) {
+    if (!findObstacle(node, exchange, state)) return true;
+  }
+  return false;
+}
+
 /** Work at the least loaded upstream that the request may use. */
 export function leastWork(node: EntryNode, exchange: Exchange): number {
   let least = Infinity;
--- /dev/null
+++ b/apps/router/test/entry/configuration.test.ts
@@ -0,0 +1,212 @@
+import {
+  acceptsKeys,
+  confirmationAge,
+  isReady,
+} from '@parsleyarch/router/entry/freshness';
+import {StoreMood} from '@parsleyarch/standins/keyspace';
+import test, {type ExecutionContext} from 'ava';
+import '../exit.js';
+import {
+  call,
+  closeSite,
+  configure,
+  route,
+  startNode,
+  startSite,
+  until,
+  type Site,
+} from './site.js';
+
+async function withSite(
+  t: ExecutionContext,
+  run: (site: Site) => Promise<void>,
+) {
+  const site = await startSite(2);
+  t.teardown(() => closeSite(site));
+  await run(site);
+}
+
+const TENANTS = {
+  tenants: [
+    {name: 'c1', api_keys: ['k1']},
+    {name: 'c2', api_keys: ['k2']},
+  ],
+};
+const withKey = (key: string) => ({headers: {authorization: `Bearer ${key}`}});
+
+test('a node without a configuration answers 503 and is not ready', async t =>
+  withSite(t, async site => {
+    const entry = await startNode(site);
+    t.is((await call(entry)).status, 503);
+    t.false(isReady(entry.node));
+    configure(site, [route()]);
+    await until(() => isReady(entry.node));
+    t.is((await call(entry)).status, 200);
+  }));
+
+test('a new configuration is in force within two seconds', async t =>
+  withSite(t, async site => {
+    configure(site, [route()]);
+    const entry = await startNode(site);
+    t.is((await call(entry, {path: '/b/x'})).status, 404);
+    const changedAt = performance.now();
+    configure(site, [route({path_prefix: '/b/'})]);
+    await until(() => entry.node.routes?.table.routes[0].pathPrefix === '/b/');
+    t.true(performance.now() - changedAt < 2_000);
+    t.is((await call(entry, {path: '/b/x'})).status, 200);
+    t.is((await call(entry)).status, 404);
+  }));
+
+test('lost history is read again in full, and nothing older comes back', async t =>
+  withSite(t, async site => {
+    configure(site, [route()]);
+    const entry = await startNode(site);
+    const {version} = entry.node.routes!.table;
+    site.store.compacted = Infinity;
+    configure(site, [route({path_prefix: '/b/'})]);
+    site.store.server.cutAll();
+    await until(() => entry.node.routes!.table.version > version);
+    site.store.compacted = 0;
+    t.is((await call(entry, {path: '/b/x'})).status, 200);
+  }));
+
+test('an entry that cannot be read leaves the one in force', async t =>
+  withSite(t, async site => {
+    configure(site, [route()]);
+    const entry = await startNode(site);
+    site.store.put('op/config', {version: 'x'});
+    site.store.put('servers/i-odd', {service: 4});
+    site.store.put('servers/i-0', 'text');
+    await until(() => entry.node.upstreams.size === 1);
+    t.is((await call(entry)).status, 200);
+  }));
+
+test('keys decide the customer, and never reach the upstream', async t =>
+  withSite(t, async site => {
+    configure(
+      site,
+      [route(), route({name: 'p', path_prefix: '/p/', public: true})],
+      TENANTS,
+    );
+    const entry = await startNode(site);
+    t.is((await call(entry)).status, 401);
+    t.is((await call(entry, withKey('k3'))).status, 401);
+    t.is((await call(entry, {path: '/p/x'})).status, 200);
+    const forged = {authorization: 'Bearer k1', 'x-parsleyarch-tenant': 'c2'};
+    t.is((await call(entry, {headers: forged})).status, 200);
+    const seen = site.runners.flatMap(runner => runner.seen).at(-1)!;
+    const all = site.runners.flatMap(runner => runner.seen);
+    t.true(all.some(({headers}) => headers['x-parsleyarch-tenant'] === 'c1'));
+    t.true(all.every(({headers}) => headers.authorization === undefined));
+    t.truthy(seen.headers['x-parsleyarch-expect-runner']);
+  }));
+
+test('keys are refused once the configuration may be outdated', async t =>
+  withSite(t, async site => {
+    configure(site, [route()], TENANTS);
+    const entry = await startNode(site, {
+      keys: {failClosed: true, revokeMs: 2_500},
+    });
+    t.is((await call(entry, withKey('k1'))).status, 200);
+    site.store.mood = StoreMood.silent;
+    site.store.server.cutAll();
+    const lostAt = performance.now();
+    await until(() => !acceptsKeys(entry.node));
+    t.true(performance.now() - lostAt < 2_500);
+    t.false(isReady(entry.node));
+    const refused = await call(entry, withKey('k1'));
+    t.is(refused.status, 503);
+    t.truthy(refused.headers['retry-after']);
+    site.store.mood = StoreMood.well;
+    await until(() => acceptsKeys(entry.node));
+    t.is((await call(entry, withKey('k1'))).status, 200);
+  }));
+
+test('time in which the machine is suspended counts', async t =>
+  withSite(t, async site => {
+    configure(site, [route()], TENANTS);
+    const entry = await startNode(site);
+    const {node} = entry;
+    t.true(acceptsKeys(node));
+    // The monotonic clock stands still while the uptime goes on.
+    node.confirmed = {
+      ...node.readClocks(),
+      uptimeSeconds: node.readClocks().uptimeSeconds - 20,
+    };
+    t.true(confirmationAge(node) > 19_000);
+    t.false(acceptsKeys(node));
+  }));
+
+test('a draining upstream and a domain that is out get nothing new', async t =>
+  withSite(t, async site => {
+    configure(site, [route()]);
+    const entry = await startNode(site);
+    site.runners[0].register({state: 'draining'});
+    await until(
+      () => entry.node.upstreams.get('i-0')?.registered.draining === true,
+    );
+    for (let i = 0; i < 6; i += 1) t.is((await call(entry)).status, 200);
+    t.is(site.runners[0].seen.length, 0);
+    site.store.put('op/evacuate/gulberg', {});
+    await until(() => entry.node.evacuated.has('gulberg'));
+    const refused = await call(entry);
+    t.is(refused.status, 503);
+    site.store.remove('op/evacuate/gulberg');
+    await until(() => entry.node.evacuated.size === 0);
+    t.is((await call(entry)).status, 200);
+  }));
+
+test('entries that lapse while the store is away are kept for a while', async t =>
+  withSite(t, async site => {
+    configure(site, [route()]);
+    const entry = await startNode(site);
+    site.store.mood = StoreMood.busy;
+    site.store.server.cutAll();
+    await new Promise(resolve => setTimeout(resolve, 300));
+    site.runners[0].leave();
+    site.store.mood = StoreMood.well;
+    await until(
+      () => entry.node.upstreams.get('i-0')?.missingSince !== undefined,
+    );
+    t.true(entry.node.upstreams.has('i-0'));
+    await until(() => !entry.node.upstreams.has('i-0'));
+    t.is((await call(entry)).status, 200);
+  }));
+
+test('an address that another upstream has taken runs nothing', async t =>
+  withSite(t, async site => {
+    configure(site, [route({kind: 'non_idempotent'})]);
+    const entry = await startNode(site);
+    // i-9 is told to be at the address of i-0.
+    site.store.put('servers/i-9', {
+      service: 'api',
+      addr: `127.0.0.1:${site.runners[0].server.port}`,
+      zone: 'gulberg',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      cold_left_ms: 0,
+      born: 2,
+    });
+    site.runners[0].leave();
+    site.runners[1].leave();
+    await until(() => entry.node.upstreams.size === 1);
+    const answer = await call(entry, {method: 'POST'});
+    t.is(answer.status, 503);
+    t.is(site.runners[0].seen.length, 0);
+  }));
+
+test('limits on headers and bodies have clear answers', async t =>
+  withSite(t, async site => {
+    configure(site, [route()]);
+    const entry = await startNode(site);
+    t.is((await call(entry, {headers: {big: 'x'.repeat(5_000)}})).status, 431);
+    t.is(
+      (await call(entry, {method: 'POST', body: 'x'.repeat(100_001)})).status,
+      413,
+    );
+    t.is(
+      (await call(entry, {method: 'POST', body: 'x'.repeat(99_000)})).status,
+      200,
+    );
+  }));
--- /dev/null
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -0,0 +1,122 @@
+import {seal, type Script} from '@parsleyarch/standins/runner';
+import {startRunner} from '@parsleyarch/standins/runner';
+import test, {type ExecutionContext} from 'ava';
+import '../exit.js';
+import {
+  call,
+  closeSite,
+  configure,
+  route,
+  startNode,
+  startSite,
+  until,
+  type Site,
+} from './site.js';
+
+const DURATION_S = 10;
+
+async function startRollout(
+  t: ExecutionContext,
+  script?: Script,
+): Promise<Site> {
+  const site = await startSite(2);
+  t.teardown(() => closeSite(site));
+  configure(site, [route({max_attempts: 3})]);
+  await startNode(site);
+  await startNode(site);
+  for (const id of ['n-0', 'n-1']) {
+    const runner = await startRunner(site.store, id, {version: 'v2'});
+    runner.script = script;
+    site.runners.push(runner);
+  }
+  site.store.put('op/rollout/api', {
+    service: 'api',
+    target: 'v2',
+    duration_s: DURATION_S,
+  });
+  for (const runner of site.runners.slice(2)) runner.register();
+  return site;
+}
+
+const stateOf = ({store}: Site) => {
+  const item = store.items.get('status/rollout/api');
+  const text =
+    item?.value && Buffer.from(item.value, 'base64').toString('utf8');
+  return text
+    ? (JSON.parse(text) as {state: string; target: string})
+    : undefined;
+};
+
+/** Sends requests of short and lasting sessions until a state is reached. */
+async function play(site: Site, state: string): Promise<number> {
+  let sent = 0;
+  const end = performance.now() + DURATION_S * 1_000;
+  while (stateOf(site)?.state !== state && performance.now() < end) {
+    const lasting = `s-${sent % 7}`;
+    const headers = {session: sent % 2 ? lasting : `one-${sent}`};
+    await call(site.entries[sent % 2], {headers});
+    sent += 1;
+    await new Promise(resolve => setTimeout(resolve, 8));
+  }
+  return sent;
+}
+
+test('a good version is complete in time, and lasting sessions never go back', async t => {
+  const site = await startRollout(t);
+  await play(site, 'complete');
+  t.deepEqual(stateOf(site), {state: 'complete', target: 'v2'});
+  const runs = site.runners.flatMap((runner, i) =>
+    runner.seen.map(({headers, at}) => ({
+      session: String(headers.session),
+      at,
+      fresh: i >= 2,
+    })),
+  );
+  runs.sort((a, b) => a.at - b.at);
+  const last = new Map<string, boolean>();
+  let back = 0;
+  for (const {session, fresh} of runs) {
+    if (last.get(session) && !fresh) back += 1;
+    last.set(session, fresh);
+  }
+  t.is(back, 0);
+  const firstHalf = runs.filter(({at}) => at < runs[0].at + DURATION_S * 450);
+  const moved = firstHalf.filter(
+    ({session, fresh}) => session.startsWith('s-') && fresh,
+  );
+  t.is(moved.length, 0);
+});
+
+test('a bad version is reverted after few requests and gets none afterwards', async t => {
+  const site = await startRollout(
+    t,
+    (seen, response) => void response.writeHead(500, seal(seen)).end('bad'),
+  );
+  const sent = await play(site, 'reverted');
+  t.is(stateOf(site)?.state, 'reverted');
+  const exposed = () => site.runners.slice(2).flatMap(({seen}) => seen).length;
+  t.true(exposed() <= sent * 0.15 + 30);
+  await until(() =>
+    site.entries.every(
+      ({node}) => node.versions.plans.get('api')?.plan.phase === 'reverted',
+    ),
+  );
+  const before = exposed();
+  for (let i = 0; i < 20; i += 1) await call(site.entries[i % 2]);
+  t.is(exposed(), before);
+});
+
+test('another node goes on when the holder is gone', async t => {
+  const site = await startRollout(t);
+  await until(() =>
+    site.entries.some(({node}) => node.holding.lease !== undefined),
+  );
+  const holder = site.entries.find(
+    ({node}) => node.holding.lease !== undefined,
+  )!;
+  const other = site.entries.find(entry => entry !== holder)!;
+  holder.node.settings.stop.graceSeconds = 0;
+  await holder.stop();
+  await until(() => other.node.holding.lease !== undefined);
+  t.is(stateOf(site)?.state, 'running');
+});
