--- a/apps/standins/src/keyspace.ts
+++ b/apps/standins/src/keyspace.ts
@@ -48,7 +48,14 @@
     ? {key, rev, deleted: true}
     : {key, value, rev, create_revision: rev, lease};
 
-async function readJson(request: IncomingMessage): Promise<any> {
+interface Body {
+  readonly expect_rev?: readonly {key: string; rev: number}[];
+  readonly writes?: readonly {key: string; value: string; lease?: number}[];
+  readonly remove?: readonly string[];
+  readonly ttl_ms?: number;
+}
+
+async function readJson(request: IncomingMessage): Promise<Body> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
   const text = Buffer.concat(chunks).toString('utf8');
@@ -154,7 +161,7 @@
     send(response, 200, {rev: store.revision});
   };
   const grant = async (request: IncomingMessage, response: ServerResponse) => {
-    const {ttl_ms} = await readJson(request);
+    const {ttl_ms = 1_000} = await readJson(request);
     const lease = (nextLease += 1);
     renew(lease, ttl_ms);
     send(response, 200, {lease, ttl_ms});
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,7 +62,7 @@
 };
 
 export default [
-  {ignores: ['build/**', 'dist/**']},
+  {ignores: ['build/**', 'dist/**', 'target/**']},
   ...gts,
   ...DIRECTION,
   PURE,
