Take shorter steps in short roll-outs

Steps are 4% of the time now, at most 1 s, so roll-outs of 24 s and more are unchanged. Ruled out: doubt about the version (no slow request in the counts), a node that did not follow. Test: 'complete with time to spare in 8000 ms' failed before.

--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -65,8 +65,9 @@
 const HOLD_PART = 0.75;
 /** Time that is kept for requests on the old version to end, milliseconds. */
 const DRAIN_MS = 5_500;
-/** Shortest time at a share of the ramp, milliseconds. */
+/** Shortest time at a share of the ramp: milliseconds, or part of the time. */
 const STEP_MS = 1_000;
+const STEP_PART = 0.04;
 /** Requests that the version must have served before the ramp. */
 const MIN_SEEN = 12;
 /** Part of the time after which old requests are no longer waited for. */
@@ -107,9 +108,14 @@
   return undefined;
 }
 
+/** Short roll-outs take shorter steps, so that all of them fit. */
+function isStepOver({planAgeMs, durationMs}: RolloutView): boolean {
+  return planAgeMs >= Math.min(STEP_MS, durationMs * STEP_PART);
+}
+
 function rampUp(view: RolloutView): PlanChange | undefined {
   const {plan} = view;
-  if (view.planAgeMs < STEP_MS || !view.followed) return undefined;
+  if (!isStepOver(view) || !view.followed) return undefined;
   if (isDoubtful(view.freshRecent, view.old)) return undefined;
   const share = nextShare(plan.share);
   if (share === undefined) return undefined;
@@ -125,7 +131,7 @@
 function finish(view: RolloutView): PlanChange | undefined {
   const late = view.elapsedMs >= view.durationMs * LAST_PART;
   const drained = view.followed && view.oldInFlight === 0;
-  if (view.planAgeMs < STEP_MS || !(drained || late)) return undefined;
+  if (!isStepOver(view) || !(drained || late)) return undefined;
   const reason = drained ? 'nothing runs on the old version' : 'time is over';
   return {phase: Phase.complete, share: 1, reason};
 }
--- a/packages/policy/test/rollout-plan.test.ts
+++ b/packages/policy/test/rollout-plan.test.ts
@@ -121,3 +121,27 @@
   );
   t.pass();
 });
+
+for (const durationMs of [8_000, 10_000, 16_000, 24_000, 60_000])
+  test(`a good version is complete with time to spare in ${durationMs} ms`, t => {
+    const POLL_MS = 400;
+    let current = plan();
+    let changedAt = 0;
+    let endedAt = Infinity;
+    for (let ms = 0; ms < durationMs && !isOver(current); ms += POLL_MS) {
+      const change = nextChange(
+        view({
+          plan: current,
+          elapsedMs: ms,
+          durationMs,
+          planAgeMs: ms - changedAt,
+        }),
+      );
+      if (!change) continue;
+      current = {...current, ...change};
+      changedAt = ms;
+      endedAt = ms;
+    }
+    t.is(current.phase, Phase.complete);
+    t.true(endedAt <= durationMs * 0.9);
+  });
