--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -4,8 +4,8 @@
   type KeyspaceStandIn,
 } from '@parsleyarch/standins/keyspace';
 import {startRunner, type RunnerStandIn} from '@parsleyarch/standins/runner';
+import {freePort} from '@parsleyarch/standins/cluster';
 import * as http from 'node:http';
-import {createServer, type AddressInfo} from 'node:net';
 import {createEntry, type Entry} from '@parsleyarch/router/entry/serve';
 import type {EntrySettings} from '@parsleyarch/router/entry/settings';
 
@@ -16,14 +16,6 @@
   readonly entries: Entry[];
 }
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 /** Settings of a node against a store. */
 export async function settingsFor(
   store: KeyspaceStandIn,
