Age confirmations by a clock that counts suspensions itself

Time that the time of day advances beyond the monotonic clock counts instead; steps back never make a confirmation younger. The refusal's line tells the age. Test: 'time in which the machine is suspended counts' and a property test of the clock.

--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -116,7 +116,7 @@
     },
     change: item => applyOrder(node, item),
     confirmed(sentAt) {
-      node.confirmed = sentAt;
+      node.confirmedAt = sentAt;
     },
   };
 }
--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -27,8 +27,8 @@
   reset(items: readonly StoredItem[]): void;
   /** Takes one change. */
   change(item: StoredItem): void;
-  /** Is told that all changes up to a moment are known. */
-  confirmed?(sentAt: {monotonic: number; uptimeSeconds: number}): void;
+  /** Is told that all changes up to a moment of the continuous clock are known. */
+  confirmed?(sentAt: number): void;
 }
 
 interface Following {
@@ -69,7 +69,7 @@
 
 async function readPrefix(node: EntryNode, following: Following) {
   const {follower} = following;
-  const sentAt = node.readClocks();
+  const sentAt = node.continuousClock();
   const all = await readAll(node.keyspace, follower.prefix);
   noteReach(node, following, all.isOk(), all.isErr() ? all.error.message : '');
   if (all.isErr()) return pauseAfterFailure(following);
@@ -84,7 +84,7 @@
   revision: number,
 ) {
   const {follower} = following;
-  const sentAt = node.readClocks();
+  const sentAt = node.continuousClock();
   const changes = await watchChanges(
     node.keyspace,
     follower.prefix,
--- a/apps/router/src/entry/ingress.ts
+++ b/apps/router/src/entry/ingress.ts
@@ -6,7 +6,7 @@
 import type {AddressInfo} from 'node:net';
 import {dispatch} from './dispatch.js';
 import {openExchange, readBody, type Exchange} from './exchange.js';
-import {isReady} from './freshness.js';
+import {confirmationAge, isReady} from './freshness.js';
 import type {EntryNode} from './node.js';
 import {endWithFailure, noteEnd, writeFailure} from './reply.js';
 
@@ -76,6 +76,7 @@
       host: request.headers.host,
       target: request.url?.slice(0, 100),
       configuration: node.routes?.table.version,
+      confirmationAgeMs: Math.round(confirmationAge(node)),
       kind,
       reason: message,
     });
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -3,6 +3,10 @@
 import {PLATFORM_STORE} from '@parsleyarch/platform/store';
 import type {ReportedLoad} from '@parsleyarch/platform/headers';
 import type {PeerClient} from '@parsleyarch/peer/client';
+import {
+  createContinuousClock,
+  readContinuous,
+} from '@parsleyarch/protocol/continuous-clock';
 import type {RouteIndex} from '@parsleyarch/policy/routes';
 import type {RetryWindow} from '@parsleyarch/policy/retry-window';
 import type {
@@ -14,7 +18,6 @@
 import {createLog, type Log} from '@parsleyarch/telemetry/log';
 import {randomUUID} from 'node:crypto';
 import * as http from 'node:http';
-import {uptime} from 'node:os';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
 import {createSharedLoad, type SharedLoad} from './load.js';
 import {createModelKnowledge, type ModelKnowledge} from './models.js';
@@ -94,8 +97,8 @@
   readonly members: Map<string, string>;
   /** Most nodes that were registered at one time. */
   mostMembers: number;
-  /** Confirmation that the configuration is current; see `freshness.ts`. */
-  confirmed?: {readonly monotonic: number; readonly uptimeSeconds: number};
+  /** When the configuration was last current; see `freshness.ts`. */
+  confirmedAt?: number;
   /** Sources of the store that cannot be reached now. */
   readonly storeLost: Set<string>;
   /** When the store was reached again after it had been lost. */
@@ -106,7 +109,8 @@
   onTable: (table: RoutingTable) => void;
   /** Called once the key of the nodes is known. */
   onPeerKey: (key: string) => void;
-  readonly readClocks: () => {monotonic: number; uptimeSeconds: number};
+  /** Milliseconds that also count suspensions of the machine. */
+  readonly continuousClock: () => number;
   /** Whether callers are being served. */
   serving: boolean;
   stopping: boolean;
@@ -123,6 +127,7 @@
     else log.error({part: name, error: String(error)}, 'failed to stop');
   });
   const metrics = createEntryMetrics();
+  const elapsed = createContinuousClock(performance.now(), Date.now());
   return {
     settings,
     incarnation: randomUUID(),
@@ -152,10 +157,8 @@
     storeLost: new Set(),
     onTable: () => {},
     onPeerKey: () => {},
-    readClocks: () => ({
-      monotonic: performance.now(),
-      uptimeSeconds: uptime(),
-    }),
+    continuousClock: () =>
+      readContinuous(elapsed, performance.now(), Date.now()),
     serving: false,
     stopping: false,
     refusing: false,
--- a/apps/router/test/entry/configuration.test.ts
+++ b/apps/router/test/entry/configuration.test.ts
@@ -122,20 +122,23 @@
     t.is((await call(entry, withKey('k1'))).status, 200);
   }));
 
-test('time in which the machine is suspended counts', async t =>
+test.serial('time in which the machine is suspended counts', async t =>
   withSite(t, async site => {
     configure(site, [route()], TENANTS);
-    const entry = await startNode(site);
-    const {node} = entry;
+    const {node} = await startNode(site);
     t.true(acceptsKeys(node));
-    // The monotonic clock stands still while the uptime goes on.
-    node.confirmed = {
-      ...node.readClocks(),
-      uptimeSeconds: node.readClocks().uptimeSeconds - 20,
-    };
-    t.true(confirmationAge(node) > 19_000);
-    t.false(acceptsKeys(node));
-  }));
+    // The monotonic clock stands still while the time of day goes on.
+    const {now} = Date;
+    try {
+      Date.now = () => now() + 20_000;
+      t.true(confirmationAge(node) > 19_000);
+      t.false(acceptsKeys(node));
+    } finally {
+      Date.now = now;
+    }
+    await until(() => acceptsKeys(node));
+  }),
+);
 
 test('a draining upstream and a domain that is out get nothing new', async t =>
   withSite(t, async site => {
