Follow the store through one watcher a failure domain

One watch of 1 s covers everything now; the first node of each failure domain watches, the others follow it over gRPC, fall back to another watcher and then to the store, and carry the age of the confirmation, counted from when the watcher's call was sent. The shared key is written by the first node only. Ruled out: polling with stale reads (age unknown, so nothing is confirmed).

--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -8,16 +8,9 @@
 import {indexRoutes} from '@parsleyarch/policy/routes';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import type {StoredItem} from '@parsleyarch/store/keyspace';
-import type {Follower} from './follow.js';
+import type {Subscriber} from './feed.js';
 import type {EntryNode, UpstreamState} from './node.js';
 
-/** Longest age of a confirmation of the configuration, milliseconds. */
-const CONFIRM_MS = 1_000;
-/** Pauses in which changes are gathered, milliseconds. */
-const ORDER_GATHER_MS = 50;
-const UPSTREAM_GATHER_MS = 300;
-/** Longest wait of the other watches, milliseconds. */
-const WATCH_MS = 20_000;
 /** Time after an outage in which entries may be missing, milliseconds. */
 const RETURN_MS = 2_000;
 /** Time for which an upstream without its entry is still used after that. */
@@ -95,13 +88,10 @@
   else if (item.key.startsWith(KEY.evacuations)) applyEvacuation(node, item);
 }
 
-/** Follows what operators write. */
-export function orderFollower(node: EntryNode): Follower {
+/** Takes what operators write. */
+export function orderSubscriber(node: EntryNode): Subscriber {
   return {
-    name: 'orders',
     prefix: KEY.orders,
-    waitMs: CONFIRM_MS,
-    gatherMs: ORDER_GATHER_MS,
     reset(items) {
       const keys = new Set(items.map(({key}) => key));
       for (const domain of [...node.evacuated]) {
@@ -115,9 +105,6 @@
       for (const item of items) applyOrder(node, item);
     },
     change: item => applyOrder(node, item),
-    confirmed(sentAt) {
-      node.confirmedAt = sentAt;
-    },
   };
 }
 
@@ -161,7 +148,7 @@
 /** Whether entries may have lapsed only because the store was away. */
 function isAfterOutage(node: EntryNode): boolean {
   const returned = node.storeReturnedAt ?? -Infinity;
-  return node.storeLost.size > 0 || node.clock() - returned < RETURN_MS;
+  return node.storeLost || node.clock() - returned < RETURN_MS;
 }
 
 function removeUpstream(node: EntryNode, id: string): void {
@@ -190,13 +177,10 @@
   node.upstreams.delete(id);
 }
 
-/** Follows the upstreams that register themselves. */
-export function upstreamFollower(node: EntryNode): Follower {
+/** Takes the upstreams that register themselves. */
+export function upstreamSubscriber(node: EntryNode): Subscriber {
   return {
-    name: 'upstreams',
     prefix: KEY.upstreams,
-    waitMs: WATCH_MS,
-    gatherMs: UPSTREAM_GATHER_MS,
     reset(items) {
       const keys = new Set(items.map(({key}) => key));
       for (const id of [...node.upstreams.keys()]) {
--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -1,133 +1,223 @@
 /**
- * Follows prefixes of the store: a full read first, then watches in revision
- * order, and a full read again when the history is gone.
+ * Follows the store's changes: a full read first, then watches in revision
+ * order, and a full read again when the history is gone. Only a few nodes watch
+ * the store; the others follow these and turn to the store when none of them
+ * is well.
  */
-import {repeat, wait} from '@parsleyarch/lifecycle/process';
 import {own} from '@parsleyarch/lifecycle/manager';
+import {repeat, wait} from '@parsleyarch/lifecycle/process';
+import {callPeer} from '@parsleyarch/peer/client';
+import type {ChangedItem, Changes} from '@parsleyarch/peer/messages';
+import {KEY} from '@parsleyarch/platform/names';
+import {listSources} from '@parsleyarch/policy/watchers';
 import {
   readAll,
   watchChanges,
   type StoredItem,
 } from '@parsleyarch/store/keyspace';
+import {takeAll, takeChanges} from './feed.js';
 import type {EntryNode} from './node.js';
 
+/** Longest wait of a watch, and so the age of a confirmation, milliseconds. */
+const WATCH_MS = 1_000;
+/** Pause between watches, so that changes in a row share one call. */
+const GATHER_MS = 50;
 /** Shortest and longest pause after a failed call, milliseconds. */
 const MIN_RETRY_MS = 200;
 const MAX_RETRY_MS = 1_000;
+/** The longest pause of a node that only stands in for its source. */
+const MAX_FOLLOWER_RETRY_MS = 4_000;
+/** Pause before a node without any source looks again, milliseconds. */
+const LOOK_MS = 100;
+/** Longest wait at a node that is followed, milliseconds. */
+const HELD_MS = 400;
+/** Time for such a call beyond its wait, milliseconds. */
+const ANSWER_MS = 500;
+/** Age of a confirmation from which another source is looked for. */
+const OLD_CONFIRMATION_MS = 1_800;
+/** Time for which a source is passed over; it doubles with each failure. */
+const MIN_SKIP_MS = 1_000;
+const MAX_SKIP_MS = 8_000;
 
-/** What is done with the changes of a prefix. */
-export interface Follower {
-  readonly name: string;
-  readonly prefix: string;
-  /** Longest wait of one watch, milliseconds. */
-  readonly waitMs: number;
-  /** Pause between watches, so that changes in a row share one call. */
-  readonly gatherMs: number;
-  /** Takes all items of the prefix in place of what was known. */
-  reset(items: readonly StoredItem[]): void;
-  /** Takes one change. */
-  change(item: StoredItem): void;
-  /** Is told that all changes up to a moment of the continuous clock are known. */
-  confirmed?(sentAt: number): void;
-}
-
-interface Following {
-  readonly follower: Follower;
-  /** Revision up to which changes are known; absent: read all first. */
-  revision?: number;
-  reachable: boolean;
+/** Where a node gets changes from. */
+export interface Following {
+  /** Node that is followed; absent: the store. */
+  source?: string;
+  /** Whether all items must be read, as the history is gone. */
+  mustRead: boolean;
   /** Pause after the next failed call, milliseconds. */
   retryMs: number;
+  /** When the store may be called again after a failure. */
+  retryAt: number;
+  /** Sources that are passed over, until when, and for how long. */
+  readonly skipped: Map<string, {until: number; skipMs: number}>;
 }
 
-function noteReach(
-  node: EntryNode,
-  following: Following,
-  reached: boolean,
-  reason = '',
-): void {
-  if (reached) following.retryMs = MIN_RETRY_MS;
-  if (following.reachable === reached) return;
-  following.reachable = reached;
-  const {name} = following.follower;
-  if (reached) {
-    node.storeLost.delete(name);
-    node.storeReturnedAt = node.clock();
-    node.log.info({source: name}, 'store regained');
-  } else {
-    node.storeLost.add(name);
-    node.log.warn({source: name, reason}, 'store lost');
-  }
+/** Follows nothing yet. */
+export function createFollowing(): Following {
+  return {
+    mustRead: true,
+    retryMs: MIN_RETRY_MS,
+    retryAt: 0,
+    skipped: new Map(),
+  };
+}
+
+function sourcesOf(node: EntryNode): string[] {
+  const {node: name, failureDomain} = node.settings;
+  return listSources(node.members.values(), {name, failureDomain});
+}
+
+function noteReach(node: EntryNode, lost: boolean, reason = ''): void {
+  if (node.storeLost === lost) return;
+  node.storeLost = lost;
+  if (lost) return node.log.warn({reason}, 'store lost');
+  node.storeReturnedAt = node.clock();
+  node.log.info('store regained');
+}
+
+function noteSource(node: EntryNode, source: string | undefined): void {
+  const {following} = node;
+  if (following.source === source) return;
+  node.log.info({from: following.source, to: source}, 'source of changes');
+  following.source = source;
 }
 
 /** Each call counts, so the pause doubles while the store stays away. */
-function pauseAfterFailure(following: Following): Promise<void> {
-  const pauseMs = following.retryMs;
-  following.retryMs = Math.min(MAX_RETRY_MS, pauseMs * 2);
-  return wait(pauseMs);
+function noteFailedCall(node: EntryNode, reason: string): void {
+  const {following} = node;
+  noteReach(node, true, reason);
+  const isFollower = sourcesOf(node).length > 0;
+  const most = isFollower ? MAX_FOLLOWER_RETRY_MS : MAX_RETRY_MS;
+  following.retryAt = node.clock() + following.retryMs;
+  following.retryMs = Math.min(most, following.retryMs * 2);
 }
 
-async function readPrefix(node: EntryNode, following: Following) {
-  const {follower} = following;
+function noteCall(node: EntryNode): void {
+  node.following.retryMs = MIN_RETRY_MS;
+  noteReach(node, false);
+}
+
+async function readStore(node: EntryNode): Promise<void> {
+  const {following} = node;
   const sentAt = node.continuousClock();
-  const all = await readAll(node.keyspace, follower.prefix);
-  noteReach(node, following, all.isOk(), all.isErr() ? all.error.message : '');
-  if (all.isErr()) return pauseAfterFailure(following);
-  following.revision = all.value.revision;
-  follower.reset(all.value.items);
-  follower.confirmed?.(sentAt);
+  const all = await readAll(node.keyspace, KEY.all);
+  if (all.isErr()) return noteFailedCall(node, all.error.message);
+  noteCall(node);
+  following.mustRead = false;
+  takeAll(node.feed, all.value.items, all.value.revision);
+  node.confirmedAt = Math.max(node.confirmedAt ?? 0, sentAt);
 }
 
-async function watchPrefix(
-  node: EntryNode,
-  following: Following,
-  revision: number,
-) {
-  const {follower} = following;
+async function watchStore(node: EntryNode, revision: number): Promise<void> {
   const sentAt = node.continuousClock();
   const changes = await watchChanges(
     node.keyspace,
-    follower.prefix,
+    KEY.all,
     revision,
-    follower.waitMs,
+    WATCH_MS,
   );
-  noteReach(
-    node,
-    following,
-    changes.isOk(),
-    changes.isErr() ? changes.error.message : '',
-  );
-  if (changes.isErr()) return pauseAfterFailure(following);
+  if (changes.isErr()) return noteFailedCall(node, changes.error.message);
+  noteCall(node);
   if (!changes.value) {
-    node.log.warn({source: follower.name, revision}, 'history gone');
-    following.revision = undefined;
+    node.log.warn({revision}, 'history gone');
+    node.following.mustRead = true;
     return;
   }
-  for (const item of changes.value.items) {
-    if (item.revision > revision) follower.change(item);
+  takeChanges(node.feed, changes.value.items, changes.value.revision);
+  node.confirmedAt = Math.max(node.confirmedAt ?? 0, sentAt);
+}
+
+async function askStore(node: EntryNode): Promise<void> {
+  const {feed, following} = node;
+  if (node.clock() < following.retryAt) return wait(LOOK_MS);
+  noteSource(node, undefined);
+  if (feed.revision === undefined || following.mustRead) return readStore(node);
+  await watchStore(node, feed.revision);
+}
+
+function toItem({key, revision, value, removed}: ChangedItem): StoredItem {
+  return {key, revision, value: removed ? undefined : value};
+}
+
+function takeRelayed(node: EntryNode, changes: Changes, sentAt: number): void {
+  const items = changes.items.map(toItem);
+  if (changes.returnedAgoMs >= 0) {
+    const returnedAt = node.clock() - changes.returnedAgoMs;
+    const known = node.storeReturnedAt ?? -Infinity;
+    node.storeReturnedAt = Math.max(known, returnedAt);
   }
-  following.revision = Math.max(revision, changes.value.revision);
-  follower.confirmed?.(sentAt);
+  if (changes.whole) takeAll(node.feed, items, changes.revision);
+  else takeChanges(node.feed, items, changes.revision);
+  // The answer left the source no earlier than this, by this node's clock.
+  const answeredAt = sentAt + changes.heldMs;
+  const confirmedAt = answeredAt - changes.confirmedAgeMs;
+  node.confirmedAt = Math.max(node.confirmedAt ?? 0, confirmedAt);
 }
 
-/** Follows a prefix until the node stops; resolves after the first full read. */
-export function follow(node: EntryNode, follower: Follower): Promise<void> {
-  const following: Following = {
-    follower,
-    reachable: true,
-    retryMs: MIN_RETRY_MS,
-  };
+function passOver(node: EntryNode, source: string, reason: string): void {
+  const {skipped} = node.following;
+  const last = skipped.get(source)?.skipMs ?? MIN_SKIP_MS / 2;
+  const skipMs = Math.min(MAX_SKIP_MS, last * 2);
+  skipped.set(source, {until: node.clock() + skipMs, skipMs});
+  node.note('source', {choice: 'pass over', source, reason});
+}
+
+async function askSource(
+  node: EntryNode,
+  source: string,
+  address: string,
+): Promise<void> {
+  const {feed, peers} = node;
+  const sentAt = node.continuousClock();
+  const changes = await callPeer(
+    peers.client!,
+    address,
+    'followChanges',
+    {revision: feed.revision!, waitMs: HELD_MS},
+    HELD_MS + ANSWER_MS,
+  );
+  if (changes.isErr()) return passOver(node, source, changes.error.message);
+  const {confirmedAgeMs} = changes.value;
+  const isOld = confirmedAgeMs > OLD_CONFIRMATION_MS;
+  if (isOld) passOver(node, source, `confirmed ${confirmedAgeMs} ms ago`);
+  else {
+    node.following.skipped.delete(source);
+    noteReach(node, false);
+    noteSource(node, source);
+  }
+  takeRelayed(node, changes.value, sentAt);
+}
+
+function findSource(node: EntryNode) {
+  const {feed, following, peers} = node;
+  if (feed.revision === undefined || following.mustRead || !peers.client)
+    return undefined;
+  for (const name of sourcesOf(node)) {
+    if ((following.skipped.get(name)?.until ?? 0) > node.clock()) continue;
+    const address = node.members.get(name)?.address;
+    if (address) return {name, address};
+  }
+  return undefined;
+}
+
+async function followStep(node: EntryNode): Promise<void> {
+  const source = findSource(node);
+  if (source) await askSource(node, source.name, source.address);
+  else await askStore(node);
+}
+
+/** Follows the store until the node stops; resolves after the first full read. */
+export function followStore(node: EntryNode): Promise<void> {
   return new Promise(resolve => {
     const step = async () => {
-      if (following.revision === undefined) {
-        await readPrefix(node, following);
-        if (following.revision !== undefined) resolve();
-      } else await watchPrefix(node, following, following.revision);
+      await followStep(node);
+      if (node.feed.revision !== undefined) resolve();
     };
-    const running = repeat(follower.gatherMs, step, error =>
-      node.log.error({source: follower.name, error: String(error)}, 'failed'),
+    const running = repeat(GATHER_MS, step, error =>
+      node.log.error({error: String(error)}, 'following failed'),
     );
     // A pending watch ends when the client's connections are closed.
-    own(node.manager, `follow-${follower.name}`, () => void running.end());
+    own(node.manager, 'follow', () => void running.end());
   });
 }
--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -262,7 +262,7 @@
   };
   if (isHolder(node))
     return takeAdvice(node, answerConsultation(node, consultation));
-  const address = node.members.get(node.holding.holder?.node ?? '');
+  const address = node.members.get(node.holding.holder?.node ?? '')?.address;
   const {client} = node.peers;
   if (!address || !client) return;
   const advice = await callPeer(
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -125,7 +125,7 @@
   const report = {node: node.settings.node, loads: ownLoads(node)};
   if (collector === node.settings.node)
     return takeSummary(node, collectLoad(node, report));
-  const address = node.members.get(collector ?? '');
+  const address = node.members.get(collector ?? '')?.address;
   const {client} = node.peers;
   if (collector === undefined || !address || !client) return;
   const summary = await callPeer(
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -3,7 +3,7 @@
  * the key that they share, the holder of roll-outs and its plans.
  */
 import {own} from '@parsleyarch/lifecycle/manager';
-import {repeat} from '@parsleyarch/lifecycle/process';
+import {repeat, wait} from '@parsleyarch/lifecycle/process';
 import {closePeerClient, createPeerClient} from '@parsleyarch/peer/client';
 import {KEY} from '@parsleyarch/platform/names';
 import type {RolloutPlan} from '@parsleyarch/policy/rollout-plan';
@@ -16,22 +16,20 @@
 } from '@parsleyarch/store/keyspace';
 import {randomBytes} from 'node:crypto';
 import {z} from 'zod';
-import type {Follower} from './follow.js';
+import type {Subscriber} from './feed.js';
 import {applyHolder, isHolderKey, PLANS} from './holder.js';
 import type {EntryNode} from './node.js';
 
 /** Life of a registration without renewal, milliseconds. */
 const LEASE_MS = 10_000;
 const RENEW_MS = 3_000;
-/** Longest wait of a watch, milliseconds. */
-const WATCH_MS = 20_000;
-/** Pause in which changes are gathered, milliseconds. */
-const GATHER_MS = 250;
 const PEER_KEY_BYTES = 24;
+/** Time over which nodes spread their first write, milliseconds. */
+const KEY_SPREAD_MS = 1_500;
 const MEMBERS = `${KEY.own}nodes/`;
 const PEER_KEY = `${KEY.own}peer-key`;
 
-const Member = z.object({address: z.string()});
+const Member = z.object({address: z.string(), failureDomain: z.string()});
 const Plan = z.object({
   order: z.number(),
   service: z.string(),
@@ -48,7 +46,8 @@
 }
 
 function memberValue(node: EntryNode): Buffer {
-  return Buffer.from(JSON.stringify({address: node.settings.peers}));
+  const {peers: address, failureDomain} = node.settings;
+  return Buffer.from(JSON.stringify({address, failureDomain}));
 }
 
 async function register(
@@ -74,6 +73,9 @@
 
 /** Creates the key that nodes share, if no node has done so. */
 async function shareKey(node: EntryNode): Promise<void> {
+  if (node.peers.key !== undefined) return;
+  // Nodes that start together would all write; the first one does.
+  await wait(node.random() * KEY_SPREAD_MS);
   if (node.peers.key !== undefined) return;
   const value = Buffer.from(randomBytes(PEER_KEY_BYTES).toString('hex'));
   await commit(node.keyspace, {
@@ -124,7 +126,7 @@
 function applyMember(node: EntryNode, {key, value}: StoredItem): void {
   const name = key.slice(MEMBERS.length);
   const member = value && parse(Member, value);
-  if (member) node.members.set(name, member.address);
+  if (member) node.members.set(name, {name, ...member});
   else node.members.delete(name);
   node.mostMembers = Math.max(node.mostMembers, node.members.size);
 }
@@ -155,13 +157,10 @@
   }
 }
 
-/** Follows the router's own keys. */
-export function ownFollower(node: EntryNode): Follower {
+/** Takes the router's own keys. */
+export function ownSubscriber(node: EntryNode): Subscriber {
   return {
-    name: 'own',
     prefix: KEY.own,
-    waitMs: WATCH_MS,
-    gatherMs: GATHER_MS,
     reset(items) {
       node.members.clear();
       if (!items.some(({key}) => isHolderKey(key)))
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -9,6 +9,7 @@
 } from '@parsleyarch/protocol/continuous-clock';
 import type {RouteIndex} from '@parsleyarch/policy/routes';
 import type {RetryWindow} from '@parsleyarch/policy/retry-window';
+import type {ListedNode} from '@parsleyarch/policy/watchers';
 import type {
   RegisteredUpstream,
   RolloutOrder,
@@ -18,6 +19,8 @@
 import {createLog, type Log} from '@parsleyarch/telemetry/log';
 import {randomUUID} from 'node:crypto';
 import * as http from 'node:http';
+import {createFeed, type Feed} from './feed.js';
+import {createFollowing, type Following} from './follow.js';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
 import {createSharedLoad, type SharedLoad} from './load.js';
 import {createModelKnowledge, type ModelKnowledge} from './models.js';
@@ -62,6 +65,12 @@
   readonly seenAt: number;
 }
 
+/** Another node, or this one, as it is registered. */
+export interface Member extends ListedNode {
+  /** Where it listens for other nodes. */
+  readonly address: string;
+}
+
 /** Connections to other nodes, once their key is known. */
 export interface PeerConnections {
   key?: string;
@@ -93,14 +102,17 @@
   readonly holding: Holding;
   readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
-  /** Addresses of the nodes that are registered, by name. */
-  readonly members: Map<string, string>;
+  /** Nodes that are registered, by name. */
+  readonly members: Map<string, Member>;
   /** Most nodes that were registered at one time. */
   mostMembers: number;
   /** When the configuration was last current; see `freshness.ts`. */
   confirmedAt?: number;
-  /** Sources of the store that cannot be reached now. */
-  readonly storeLost: Set<string>;
+  /** What is known of the store, and where changes come from. */
+  readonly feed: Feed;
+  readonly following: Following;
+  /** Whether the store cannot be reached now, by any way. */
+  storeLost: boolean;
   /** When the store was reached again after it had been lost. */
   storeReturnedAt?: number;
   /** Writes a decision line, unless the rate limit drops it. */
@@ -154,7 +166,9 @@
     retries: new Map(),
     members: new Map(),
     mostMembers: 1,
-    storeLost: new Set(),
+    feed: createFeed(),
+    following: createFollowing(),
+    storeLost: false,
     onTable: () => {},
     onPeerKey: () => {},
     continuousClock: () =>
--- a/apps/router/src/entry/reply.ts
+++ b/apps/router/src/entry/reply.ts
@@ -47,6 +47,8 @@
     requestId: caller.attemptId,
     route: route.name,
     customer: exchange.customer?.name,
+    session: caller.session,
+    side: exchange.side,
     service,
     configuration: node.routes?.table.version,
     status,
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -5,8 +5,9 @@
 import {closePeerServer, listenForPeers} from '@parsleyarch/peer/server';
 import {closeKeyspace} from '@parsleyarch/store/keyspace';
 import type {Server} from 'node:http';
-import {orderFollower, upstreamFollower} from './directory.js';
-import {follow} from './follow.js';
+import {orderSubscriber, upstreamSubscriber} from './directory.js';
+import {serveFollower} from './feed.js';
+import {followStore} from './follow.js';
 import {
   applyLimits,
   createIngress,
@@ -16,7 +17,7 @@
 } from './ingress.js';
 import {answerConsultation, followRollouts} from './holder.js';
 import {collectLoad, shareLoads} from './load.js';
-import {keepRegistered, ownFollower} from './membership.js';
+import {keepRegistered, ownSubscriber} from './membership.js';
 import {createEntryNode, type EntryNode} from './node.js';
 import type {EntrySettings} from './settings.js';
 
@@ -66,6 +67,7 @@
     const server = await listenForPeers(node.settings.peers, key, {
       consult: consultation => answerConsultation(node, consultation),
       shareLoad: report => collectLoad(node, report),
+      followChanges: request => serveFollower(node, request),
     });
     own(node.manager, 'peer-listener', () => closePeerServer(server));
   } catch (thrown) {
@@ -88,14 +90,15 @@
   // Connections are taken at once; requests before the configuration get 503.
   await listen(ingress, settings.callers);
   node.onPeerKey = key => void servePeers(node, key);
-  void follow(node, ownFollower(node));
+  node.feed.subscribers.push(
+    ownSubscriber(node),
+    orderSubscriber(node),
+    upstreamSubscriber(node),
+  );
+  const known = followStore(node);
   keepRegistered(node);
   followRollouts(node);
   shareLoads(node);
-  const known = Promise.all([
-    follow(node, upstreamFollower(node)),
-    follow(node, orderFollower(node)),
-  ]);
   // Owned last, so that callers are served out before anything else stops.
   own(manager, 'callers', () => drain(node, ingress));
   await known;
--- a/apps/router/src/peering.ts
+++ b/apps/router/src/peering.ts
@@ -11,7 +11,7 @@
 /** Handlers of the peer listener. */
 export function peerHandlers(
   node: RouterNode,
-): Omit<PeerHandlers, 'consult' | 'shareLoad'> {
+): Omit<PeerHandlers, 'consult' | 'shareLoad' | 'followChanges'> {
   return {
     beats: () => ({beats: beatsToTell(node)}),
     fetchEntries: ({revision}) => entriesAfter(node, revision),
--- /dev/null
+++ b/apps/router/test/entry/following.test.ts
@@ -0,0 +1,146 @@
+import {
+  acceptsKeys,
+  confirmationAge,
+  isReady,
+} from '@parsleyarch/router/entry/freshness';
+import {
+  serveFollower,
+  takeAll,
+  takeChanges,
+} from '@parsleyarch/router/entry/feed';
+import {createFeed} from '@parsleyarch/router/entry/feed';
+import type {Entry} from '@parsleyarch/router/entry/serve';
+import {StoreMood} from '@parsleyarch/standins/keyspace';
+import test from 'ava';
+import {
+  call,
+  closeSite,
+  configure,
+  route,
+  startNode,
+  startSite,
+  until,
+  type Site,
+} from './site.js';
+
+const TENANTS = {tenants: [{name: 'c1', api_keys: ['k1']}]};
+const WITH_KEY = {headers: {authorization: 'Bearer k1'}};
+
+/** Four nodes in one domain: the first two watch, the others follow. */
+async function withFollowers(
+  t: {teardown(fn: () => Promise<void>): void},
+  run: (site: Site, followers: Entry[]) => Promise<void>,
+): Promise<void> {
+  const site = await startSite(2);
+  t.teardown(() => closeSite(site));
+  configure(site, [route()], TENANTS);
+  for (let i = 0; i < 4; i += 1) await startNode(site);
+  const followers = site.entries.slice(2);
+  const watchers = ['node-1', 'node-2'];
+  await until(() =>
+    followers.every(
+      ({node: {members, following}}) =>
+        members.size === 4 &&
+        following.skipped.size === 0 &&
+        watchers.includes(following.source ?? ''),
+    ),
+  );
+  await run(site, followers);
+}
+
+const watchesOf = (entry: Entry) => entry.node.keyspace.calls.get('watch') ?? 0;
+
+test('a node that follows others calls the store for no change', async t =>
+  withFollowers(t, async (site, [follower]) => {
+    const before = watchesOf(follower);
+    configure(site, [route({path_prefix: '/b/'})], TENANTS);
+    const version = () => follower.node.routes?.table.routes[0].pathPrefix;
+    await until(() => version() === '/b/');
+    site.store.put('op/evacuate/gulberg', {});
+    await until(() => follower.node.evacuated.has('gulberg'));
+    site.store.remove('op/evacuate/gulberg');
+    await until(() => follower.node.evacuated.size === 0);
+    t.is(watchesOf(follower), before);
+    t.true(isReady(follower.node));
+  }));
+
+test('a follower goes on with another watcher when its own is gone', async t =>
+  withFollowers(t, async (site, [follower]) => {
+    const source = follower.node.following.source!;
+    const index = site.entries.findIndex(
+      ({node}) => node.settings.node === source,
+    );
+    site.entries[index].node.settings.stop.graceSeconds = 0;
+    await site.entries[index].stop();
+    const changedAt = performance.now();
+    configure(site, [route({path_prefix: '/c/'})], TENANTS);
+    await until(
+      () => follower.node.routes?.table.routes[0].pathPrefix === '/c/',
+    );
+    t.true(performance.now() - changedAt < 1_500);
+    t.not(follower.node.following.source, source);
+  }));
+
+test('a follower refuses keys once its sources have lost the store', async t =>
+  withFollowers(t, async (site, [follower]) => {
+    t.is((await call(follower, {path: '/a/x', ...WITH_KEY})).status, 200);
+    site.store.mood = StoreMood.silent;
+    const lostAt = performance.now();
+    await until(() => !acceptsKeys(follower.node));
+    t.true(performance.now() - lostAt < 5_000);
+    t.is((await call(follower, {path: '/a/x', ...WITH_KEY})).status, 503);
+    site.store.mood = StoreMood.well;
+    await until(() => acceptsKeys(follower.node));
+  }));
+
+test('a confirmation does not get younger on its way to a follower', async t =>
+  withFollowers(t, async (site, [follower]) => {
+    const watchers = site.entries.slice(0, 2);
+    site.store.mood = StoreMood.silent;
+    const end = performance.now() + 2_000;
+    while (performance.now() < end) {
+      const youngest = Math.min(
+        ...watchers.map(({node}) => confirmationAge(node)),
+      );
+      t.true(confirmationAge(follower.node) >= youngest - 5);
+      await new Promise(resolve => setTimeout(resolve, 20));
+    }
+  }));
+
+test('a follower that is far behind gets all items', async t =>
+  withFollowers(t, async (site, [follower]) => {
+    const {node} = site.entries[0];
+    const answer = await serveFollower(node, {revision: 0, waitMs: 0});
+    t.true(answer.whole);
+    t.is(answer.items.length, node.feed.items.size);
+    t.true(answer.confirmedAgeMs < 3_000);
+    const next = await serveFollower(node, {
+      revision: answer.revision,
+      waitMs: 10,
+    });
+    t.false(next.whole);
+    t.deepEqual(next.items, []);
+    t.truthy(follower);
+  }));
+
+test('a feed never goes back, whatever order changes come in', t => {
+  const feed = createFeed();
+  const seen: number[] = [];
+  feed.subscribers.push({
+    prefix: 'a',
+    reset: items => items.forEach(({revision}) => seen.push(revision)),
+    change: ({revision}) => void seen.push(revision),
+  });
+  const item = (revision: number) => ({
+    key: 'a1',
+    revision,
+    value: Buffer.from('x'),
+  });
+  takeAll(feed, [item(7)], 5);
+  takeChanges(feed, [item(6), item(7)], 7);
+  takeChanges(feed, [item(4)], 4);
+  takeAll(feed, [item(3)], 3);
+  takeChanges(feed, [item(9)], 9);
+  t.deepEqual(seen, [7, 9]);
+  t.is(feed.revision, 9);
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -148,6 +148,33 @@
 export interface LoadSummary {
   readonly loads: readonly UpstreamLoad[];
 }
+/** Asks for the store's changes after a revision. */
+export interface ChangesAfter {
+  readonly revision: number;
+  /** Longest wait for a change, milliseconds. */
+  readonly waitMs: number;
+}
+/** An item of the store as it was written, or its removal. */
+export interface ChangedItem {
+  readonly key: string;
+  readonly revision: number;
+  readonly value: Buffer;
+  readonly removed: boolean;
+}
+/** Changes of the store as a node that watches it knows them. */
+export interface Changes {
+  /** Revision up to which the changes reach. */
+  readonly revision: number;
+  /** Whether the items are all that there are, in place of changes. */
+  readonly whole: boolean;
+  readonly items: readonly ChangedItem[];
+  /** Age of the confirmation that nothing newer was missing, milliseconds. */
+  readonly confirmedAgeMs: number;
+  /** For how long the call was kept waiting, milliseconds. */
+  readonly heldMs: number;
+  /** Time since the store was reached again; negative: long ago. */
+  readonly returnedAgoMs: number;
+}
 /** An answer without content. */
 export type Ack = Record<string, never>;
 
@@ -164,6 +191,7 @@
   explain: [ExplainAsk, Explanation];
   consult: [Consultation, Advice];
   shareLoad: [LoadReport, LoadSummary];
+  followChanges: [ChangesAfter, Changes];
 }
 
 /** Name of a call between nodes. */
