Tell all nodes of running sessions before a share of new ones is used

Each node now reports the sessions that it knows on the old version in a share's buckets, the holder merges them, and a share is used once every node has reported; the holder sends only what a node lacks. A node that stays silent holds the share up for 2.5 s at most. Ruled out: a session that changes its node within one report (none in the trace). Test: 'a session that changes nodes stays on the old version in the first half' fails without the report of running sessions.

--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -8,6 +8,7 @@
 import type {
   Advice,
   Consultation,
+  KeptSessions,
   RolloutReport,
 } from '@parsleyarch/peer/messages';
 import {callPeer} from '@parsleyarch/peer/client';
@@ -29,7 +30,8 @@
   keepLease,
 } from '@parsleyarch/store/keyspace';
 import type {EntryNode, KnownOrder} from './node.js';
-import {viewOf} from './rollout-view.js';
+import {mergeKept, takeKept, type MergedSessions} from './kept-sessions.js';
+import {followedSequence, viewOf} from './rollout-view.js';
 import {planOf, reportRollouts} from './versions.js';
 
 /** Life of the lease without renewal, milliseconds. */
@@ -64,6 +66,8 @@
   renewedAt: number;
   /** Reports by node. */
   readonly reports: Map<string, KnownReport>;
+  /** Sessions that stay on the old version, by order. */
+  readonly merged: Map<number, MergedSessions>;
   /** Counts of the versions a while ago, by order. */
   readonly snapshots: Map<number, Snapshot[]>;
 }
@@ -74,6 +78,7 @@
     heldUntil: 0,
     renewedAt: 0,
     reports: new Map(),
+    merged: new Map(),
     snapshots: new Map(),
   };
 }
@@ -136,6 +141,7 @@
   holding.lease = undefined;
   holding.heldUntil = 0;
   holding.reports.clear();
+  holding.merged.clear();
   holding.snapshots.clear();
   node.log.warn({reason}, 'no longer holds the roll-outs');
 }
@@ -226,32 +232,17 @@
   {node: name, reports}: Consultation,
 ): Advice {
   node.holding.reports.set(name, {at: node.clock(), reports});
-  const kept = new Map<string, Set<string>>();
-  const orders = new Map<string, number>();
-  for (const known of node.holding.reports.values()) {
-    for (const {service, order, keptSessions} of known.reports) {
-      if (node.orders.get(service)?.revision !== order) continue;
-      orders.set(service, order);
-      const sessions = kept.get(service) ?? new Set();
-      kept.set(service, sessions);
-      for (const session of keptSessions) sessions.add(session);
-    }
+  const kept: KeptSessions[] = [];
+  for (const report of reports) {
+    const order = node.orders.get(report.service);
+    if (order?.revision !== report.order) continue;
+    kept.push(mergeKept(node, report, followedSequence(node, order)));
   }
-  return {
-    kept: [...kept].map(([service, sessions]) => ({
-      service,
-      order: orders.get(service) ?? 0,
-      sessions: [...sessions],
-    })),
-  };
+  return {kept};
 }
 
 function takeAdvice(node: EntryNode, {kept}: Advice): void {
-  for (const {order, sessions} of kept) {
-    const known = node.versions.kept.get(order) ?? new Set();
-    node.versions.kept.set(order, known);
-    for (const session of sessions) known.add(session);
-  }
+  for (const sessions of kept) takeKept(node, sessions);
 }
 
 async function consult(node: EntryNode): Promise<void> {
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -19,6 +19,7 @@
 import type {Subscriber} from './feed.js';
 import {applyHolder, isHolderKey, PLANS} from './holder.js';
 import type {EntryNode} from './node.js';
+import {keepSessions} from './versions.js';
 
 /** Life of a registration without renewal, milliseconds. */
 const LEASE_MS = 10_000;
@@ -143,6 +144,7 @@
   if (known && known.revision >= item.revision) return;
   const {revision} = item;
   node.versions.plans.set(service, {plan, revision, seenAt: node.clock()});
+  keepSessions(node, plan);
   node.log.info({plan, revision}, 'roll-out plan in force');
 }
 
--- a/apps/router/src/entry/rollout-view.ts
+++ b/apps/router/src/entry/rollout-view.ts
@@ -3,7 +3,7 @@
 import type {VersionTally} from '@parsleyarch/policy/rollout';
 import type {RolloutPlan, RolloutView} from '@parsleyarch/policy/rollout-plan';
 import type {EntryNode, KnownOrder} from './node.js';
-import {sumTallies} from './versions.js';
+import {planOf, sumTallies} from './versions.js';
 
 /** Age after which a node's report no longer counts as its present state. */
 const REPORT_MEMORY_MS = 2_500;
@@ -103,6 +103,13 @@
   return {followed, oldInFlight};
 }
 
+/** Sequence number of the present plan once every node follows it, else 0. */
+export function followedSequence(node: EntryNode, order: KnownOrder): number {
+  const plan = planOf(node, order);
+  if (!plan || !progressOf(node, order, plan).followed) return 0;
+  return plan.sequence;
+}
+
 /** Time since an order, over changes of the holder. */
 function elapsedOf(node: EntryNode, order: KnownOrder): number {
   const now = node.clock();
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -13,6 +13,12 @@
 import {createHash} from 'node:crypto';
 import type {Outcome} from './attempt.js';
 import type {Exchange} from './exchange.js';
+import {
+  isKept,
+  isShareReady,
+  keptOf,
+  type KeptKnowledge,
+} from './kept-sessions.js';
 import type {EntryNode, KnownOrder, UpstreamState} from './node.js';
 
 /** Sessions that are remembered at most. */
@@ -55,7 +61,7 @@
   /** Counts by order revision and upstream. */
   readonly tallies: Map<number, Map<string, CountedUpstream>>;
   /** Sessions that stay on the old version, by order revision. */
-  readonly kept: Map<number, Set<string>>;
+  readonly kept: Map<number, KeptKnowledge>;
   /** Orders that this node no longer follows because of what it saw itself. */
   readonly braked: Set<number>;
   /** Usual time to an answer's header by route and model, milliseconds. */
@@ -87,15 +93,6 @@
   return caller.session ?? caller.attemptId;
 }
 
-/** Sessions that stay on the old version in the present roll-out. */
-export function keptOf(node: EntryNode, order: number): Set<string> {
-  const known = node.versions.kept.get(order);
-  if (known) return known;
-  const created = new Set<string>();
-  node.versions.kept.set(order, created);
-  return created;
-}
-
 function knownSide(node: EntryNode, key: string): Side | undefined {
   const known = node.versions.sessions.get(key);
   const {sessionSeconds} = node.settings.rollout;
@@ -110,16 +107,33 @@
   plan: RolloutPlan,
   session: string,
 ): Side {
-  const hash = createHash('sha256').update(`${plan.target}/${session}`);
-  const moved = isMoved(hash.digest('hex'), plan.share);
   const known = knownSide(node, `${order.service}/${session}`);
   if (known === Side.fresh) return Side.fresh;
-  if (!moved) return Side.old;
+  if (!isInShare(plan, session)) return Side.old;
   if (plan.phase !== Phase.canary) return Side.fresh;
-  const kept = keptOf(node, order.revision);
   // Until sessions may move, only those that begin now use the version.
-  if (known === Side.old) kept.add(session);
-  return kept.has(session) ? Side.old : Side.fresh;
+  if (known === Side.old || !isShareReady(node, order))
+    keptOf(node, order.revision).seen.add(session);
+  return isKept(node, order.revision, session) ? Side.old : Side.fresh;
+}
+
+/** Whether the bucket of a session is among the share of a plan. */
+function isInShare({target, share}: RolloutPlan, session: string): boolean {
+  const hash = createHash('sha256').update(`${target}/${session}`);
+  return isMoved(hash.digest('hex'), share);
+}
+
+/** Keeps the sessions that a new share of the canary finds on the old version. */
+export function keepSessions(node: EntryNode, plan: RolloutPlan): void {
+  if (plan.phase !== Phase.canary) return;
+  const {seen} = keptOf(node, plan.order);
+  const prefix = `${plan.service}/`;
+  for (const key of node.versions.sessions.keys()) {
+    if (!key.startsWith(prefix)) continue;
+    const session = key.slice(prefix.length);
+    if (knownSide(node, key) === Side.old && isInShare(plan, session))
+      seen.add(session);
+  }
 }
 
 function sideOf(node: EntryNode, order: KnownOrder, exchange: Exchange): Side {
@@ -145,7 +159,7 @@
   const order = node.orders.get(exchange.service);
   if (order && exchange.freshFailed && session !== undefined) {
     exchange.side = Side.old;
-    keptOf(node, order.revision).add(session);
+    keptOf(node, order.revision).seen.add(session);
   }
   noteSession(node, exchange, node.clock());
 }
@@ -293,6 +307,7 @@
   const reports: RolloutReport[] = [];
   for (const order of node.orders.values()) {
     const plan = planOf(node, order);
+    const kept = keptOf(node, order.revision);
     let oldInFlight = 0;
     for (const {registered, inFlight} of node.upstreams.values()) {
       if (registered.service !== order.service) continue;
@@ -304,7 +319,9 @@
       sequence: plan?.sequence ?? 0,
       tallies: listTallies(node, order.revision),
       oldInFlight,
-      keptSessions: [...keptOf(node, order.revision)],
+      keptSessions: [...kept.seen],
+      keptFrom: kept.from.incarnation,
+      keptCount: kept.from.count,
     });
   }
   return reports;
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -1,6 +1,8 @@
 import {seal, type Script} from '@parsleyarch/standins/runner';
 import {startRunner} from '@parsleyarch/standins/runner';
 import test, {type ExecutionContext} from 'ava';
+import type {Entry} from '@parsleyarch/router/entry/serve';
+import {isShareReady} from '@parsleyarch/router/entry/kept-sessions';
 import '../exit.js';
 import {
   call,
@@ -87,6 +89,43 @@
   t.is(moved.length, 0);
 });
 
+test('a session that changes nodes stays on the old version in the first half', async t => {
+  const site = await startSite(2);
+  t.teardown(() => closeSite(site));
+  configure(site, [route()]);
+  await startNode(site);
+  await startNode(site);
+  const fresh = await startRunner(site.store, 'n-0', {version: 'v2'});
+  site.runners.push(fresh);
+  const [first, second] = site.entries;
+  const playRound = async (entry: Entry) => {
+    for (let i = 0; i < 60; i += 1)
+      await call(entry, {headers: {session: `s-${i}`}});
+  };
+  await playRound(first);
+  site.store.put('op/rollout/api', {
+    service: 'api',
+    target: 'v2',
+    duration_s: 30,
+  });
+  await until(() => first.node.orders.has('api'));
+  fresh.register();
+  const order = () => second.node.orders.get('api');
+  const isReady = () =>
+    second.node.versions.plans.get('api')?.plan.phase === 'canary' &&
+    isShareReady(second.node, order()!);
+  await until(isReady);
+  await playRound(second);
+  for (let i = 0; i < 60; i += 1)
+    await call(second, {headers: {session: `new-${i}`}});
+  const sessions = fresh.seen.map(({headers}) => String(headers.session));
+  t.true(sessions.some(session => session.startsWith('new-')));
+  t.deepEqual(
+    sessions.filter(session => session.startsWith('s-')),
+    [],
+  );
+});
+
 test('a bad version is reverted after few requests and gets none afterwards', async t => {
   const site = await startRollout(
     t,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -112,8 +112,12 @@
   readonly tallies: readonly UpstreamTally[];
   /** Requests that still run on the old version. */
   readonly oldInFlight: number;
-  /** Sessions that stay on the old version although their bucket is moved. */
+  /** Sessions that the node has seen on the old version in a moved bucket. */
   readonly keptSessions: readonly string[];
+  /** Incarnation of the holder whose list of sessions the node knows. */
+  readonly keptFrom: string;
+  /** How many of that list it knows. */
+  readonly keptCount: number;
 }
 /** What one node tells the holder of roll-outs. */
 export interface Consultation {
@@ -125,7 +129,14 @@
 export interface KeptSessions {
   readonly service: string;
   readonly order: number;
+  /** What the node does not know yet of the holder's list. */
   readonly sessions: readonly string[];
+  /** Incarnation of the holder. */
+  readonly from: string;
+  /** Length of the holder's list. */
+  readonly count: number;
+  /** Sequence number of the newest plan of which every node has told. */
+  readonly readySequence: number;
 }
 /** The holder's answer. */
 export interface Advice {
