Let distance count less where all upstreams are busy

Cause: a body of 18 kB counted as 3.7 units of work to another domain, also when ten units waited in the own one and none elsewhere.

--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -33,6 +33,9 @@
   jitter: 0.3,
 };
 
+/** Work at every upstream that halves what distance counts for. */
+const BUSY_WORK = 4;
+
 const BYTES_PER_KB = 1_024;
 /** What a kilobyte that leaves the domain counts for, as work. */
 const WORK_PER_KB = 0.15;
@@ -162,7 +165,10 @@
   }
   const base = service?.isEngine ? ENGINE_WEIGHTS : SERVICE_WEIGHTS;
   const sendingWork = (exchange.body.length / BYTES_PER_KB) * WORK_PER_KB;
-  const weights = {...base, otherDomain: base.otherDomain + sendingWork};
+  const least = Math.min(...candidates.map(({present}) => present));
+  const otherDomain =
+    (base.otherDomain + sendingWork) / (1 + least / BUSY_WORK);
+  const weights = {...base, otherDomain};
   const choice = chooseCandidate(candidates, weights, node.random);
   const chosen = candidates.find(({id}) => id === choice?.id);
   node.note('select', {
