Expect a model's time by the work before it

The node now learns a model's time for a unit of work and multiplies by the work that waits and that the prompt makes.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -51,6 +51,8 @@
 export interface Attempt {
   readonly upstream: UpstreamState;
   readonly startedAt: number;
+  /** Work at the upstream when it was sent, its own included. */
+  readonly behindWork: number;
   readonly outcome: Promise<Outcome>;
   /** Ends the send and, with the connection, the upstream's work. */
   cancel(reason: string, tooLate?: boolean): void;
@@ -115,7 +117,7 @@
 export function startAttempt(
   node: EntryNode,
   exchange: Exchange,
-  {upstream, work}: Selection,
+  {upstream, work, present}: Selection,
   request: UpstreamRequest,
 ): Attempt {
   const [host, port] = upstream.registered.address.split(':');
@@ -178,5 +180,6 @@
     sent.destroy();
   }
   sent.end(exchange.body);
-  return {upstream, startedAt: node.clock(), outcome, cancel};
+  const behindWork = present + work;
+  return {upstream, startedAt: node.clock(), behindWork, outcome, cancel};
 }
--- a/apps/router/src/entry/models.ts
+++ b/apps/router/src/entry/models.ts
@@ -4,14 +4,17 @@
   type JudgedAnswer,
   type ModelOption,
 } from '@parsleyarch/policy/model-choice';
+import {readingWork} from '@parsleyarch/policy/work';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
-import {leastWork} from './selection.js';
+import {leastWork, relativeCostOf} from './selection.js';
 
 /** Cost of the largest model as a share of an answer's value. */
 const LARGEST_COST = 0.16;
-/** Share of the objective that a model is expected to take at first. */
-const FIRST_EXPECTED_SHARE = 0.2;
+/** Time to a header that does not depend on work, milliseconds. */
+const BASE_MS = 80;
+/** Time that a unit of work is expected to take at first, milliseconds. */
+const FIRST_PACE_MS = 50;
 /** Confidence that each larger model is expected to have above the one before. */
 const FIRST_GAIN_NEXT = 15;
 const FIRST_GAIN_LARGEST = 72;
@@ -24,31 +27,33 @@
 
 /** What is known of models. */
 export interface ModelKnowledge {
-  /** Time to a header by route and model, milliseconds. */
-  readonly times: Map<string, number>;
+  /** Time to a header for a unit of work, by service and model, milliseconds. */
+  readonly paces: Map<string, number>;
   /** Difference of confidence by the two models. */
   readonly gains: Map<string, number>;
 }
 
 /** Knows nothing. */
 export function createModelKnowledge(): ModelKnowledge {
-  return {times: new Map(), gains: new Map()};
+  return {paces: new Map(), gains: new Map()};
 }
 
 function blend(known: number | undefined, value: number, weight: number) {
   return known === undefined ? value : known + (value - known) * weight;
 }
 
-/** Notes how long a model took to its header. */
+/** Notes how long a model took to its header behind some work, its own included. */
 export function noteModelTime(
   node: EntryNode,
-  exchange: Exchange,
+  {service}: Exchange,
   model: string,
+  work: number,
   tookMs: number,
 ): void {
-  const {times} = node.models;
-  const key = `${exchange.route.name}/${model}`;
-  times.set(key, blend(times.get(key), tookMs, TIME_WEIGHT));
+  const {paces} = node.models;
+  const key = `${service}/${model}`;
+  const pace = Math.max(0, tookMs - BASE_MS) / Math.max(1, work);
+  paces.set(key, blend(paces.get(key), pace, TIME_WEIGHT));
 }
 
 /** Notes the confidences of two models for one request. */
@@ -79,13 +84,15 @@
   const largest = route.models.at(-1) ?? name;
   const top = costs?.get(largest) ?? 1;
   const presentWork = leastWork(node, exchange);
+  const table = node.routes?.table.services.get(service);
+  const relativeCost = relativeCostOf(table, exchange, name);
+  const ownWork = readingWork(exchange.caller.promptTokens, relativeCost);
+  const pace = node.models.paces.get(`${service}/${name}`) ?? FIRST_PACE_MS;
   const firstGain = name === largest ? FIRST_GAIN_LARGEST : FIRST_GAIN_NEXT;
   return {
     name,
     cost: (LARGEST_COST * (costs?.get(name) ?? top)) / top,
-    expectedMs:
-      node.models.times.get(`${route.name}/${name}`) ??
-      route.objectiveMs * FIRST_EXPECTED_SHARE,
+    expectedMs: BASE_MS + pace * (presentWork + ownWork),
     presentWork,
     confidenceGain: node.models.gains.get(`${asked}/${name}`) ?? firstGain,
   };
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -106,9 +106,12 @@
 export interface Selection {
   readonly upstream: UpstreamState;
   readonly work: number;
+  /** Work that was there before it, all nodes together. */
+  readonly present: number;
 }
 
-function relativeCostOf(
+/** Cost of a model as a share of the largest one's. */
+export function relativeCostOf(
   service: PooledService | undefined,
   {route}: Exchange,
   model: string,
@@ -181,7 +184,8 @@
     model,
   });
   const upstream = choice && node.upstreams.get(choice.id);
-  return upstream && {upstream, work: chosen?.added ?? 0};
+  if (!upstream || !chosen) return undefined;
+  return {upstream, work: chosen.added, present: chosen.present};
 }
 
 /** Time over which sends are kept for the cold limit, milliseconds. */
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -37,28 +37,24 @@
 export function start(
   node: EntryNode,
   exchange: Exchange,
-  {upstream, work}: Selection,
+  selection: Selection,
   model: string | undefined,
   lastEventId?: string,
 ): Attempt {
+  const {upstream} = selection;
   const {id} = upstream.registered;
   exchange.sends += 1;
   exchange.runs += 1;
   exchange.tried.add(id);
   noteSend(node, upstream, exchange, model);
-  const attempt = startAttempt(
-    node,
-    exchange,
-    {upstream, work},
-    {
-      upstream: id,
-      customer: exchange.customer?.name,
-      deadlineMs: Math.floor(exchange.endsAt - node.clock()),
-      model,
-      urgency: urgencyOf(exchange, model),
-      lastEventId,
-    },
-  );
+  const attempt = startAttempt(node, exchange, selection, {
+    upstream: id,
+    customer: exchange.customer?.name,
+    deadlineMs: Math.floor(exchange.endsAt - node.clock()),
+    model,
+    urgency: urgencyOf(exchange, model),
+    lastEventId,
+  });
   exchange.cancel = attempt.cancel;
   return attempt;
 }
@@ -106,7 +102,7 @@
     upstream.lastAnswerAt = node.clock();
     const {load} = outcome.answer;
     if (outcome.kind === 'answer' && model)
-      noteModelTime(node, exchange, model, tookMs);
+      noteModelTime(node, exchange, model, attempt.behindWork, tookMs);
     if (load) {
       upstream.load = {...load, at: node.clock()};
       upstream.sentSinceReport = 0;
