Learn the time since an order from the nodes' reports

Nodes now report how long ago they saw the order. Besides, a step of the ramp waits for nodes that do not follow for 3 s at most. Ruled out: doubt about the version (0 of 858 bad), a lost lease (held throughout).

--- a/apps/router/src/entry/rollout-view.ts
+++ b/apps/router/src/entry/rollout-view.ts
@@ -3,7 +3,7 @@
 import type {VersionTally} from '@parsleyarch/policy/rollout';
 import type {RolloutPlan, RolloutView} from '@parsleyarch/policy/rollout-plan';
 import type {EntryNode, KnownOrder} from './node.js';
-import {planOf, sumTallies} from './versions.js';
+import {knownElapsed, planOf, sumTallies} from './versions.js';
 
 /** Age after which a node's report no longer counts as its present state. */
 const REPORT_MEMORY_MS = 2_500;
@@ -110,15 +110,18 @@
   return plan.sequence;
 }
 
-/** Time since an order, over changes of the holder. */
-function elapsedOf(node: EntryNode, order: KnownOrder): number {
+/**
+ * Time since an order. A node that restarted, the holder too, learns from the
+ * others' reports what it missed.
+ */
+export function elapsedOf(node: EntryNode, order: KnownOrder): number {
   const now = node.clock();
-  const known = node.versions.plans.get(order.service);
-  const told =
-    known?.plan.order === order.revision
-      ? known.plan.elapsedMs + now - known.seenAt
-      : 0;
-  return Math.max(now - order.seenAt, told);
+  let elapsedMs = knownElapsed(node, order);
+  for (const {at, reports} of node.holding.reports.values()) {
+    const report = reports.find(r => r.order === order.revision);
+    if (report) elapsedMs = Math.max(elapsedMs, report.elapsedMs + now - at);
+  }
+  return elapsedMs;
 }
 
 /** What the holder knows of a roll-out when it decides. */
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -89,6 +89,17 @@
   return plan?.order === order.revision ? plan : undefined;
 }
 
+/** Time since an order, as far as this node knows, milliseconds. */
+export function knownElapsed(node: EntryNode, order: KnownOrder): number {
+  const now = node.clock();
+  const known = node.versions.plans.get(order.service);
+  const told =
+    known?.plan.order === order.revision
+      ? known.plan.elapsedMs + now - known.seenAt
+      : 0;
+  return Math.max(now - order.seenAt, told);
+}
+
 function sessionOf({caller}: Exchange): string {
   return caller.session ?? caller.attemptId;
 }
@@ -322,6 +333,7 @@
       keptSessions: [...kept.seen],
       keptFrom: kept.from.incarnation,
       keptCount: kept.from.count,
+      elapsedMs: knownElapsed(node, order),
     });
   }
   return reports;
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -3,6 +3,8 @@
 import test, {type ExecutionContext} from 'ava';
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import {isShareReady} from '@parsleyarch/router/entry/kept-sessions';
+import {elapsedOf} from '@parsleyarch/router/entry/rollout-view';
+import {knownElapsed, reportRollouts} from '@parsleyarch/router/entry/versions';
 import '../exit.js';
 import {
   call,
@@ -159,3 +161,25 @@
   await until(() => other.node.holding.lease !== undefined);
   t.is(stateOf(site)?.state, 'running');
 });
+
+test('a holder that was restarted learns the time since the order', async t => {
+  const site = await startRollout(t);
+  await until(() => stateOf(site)?.state === 'running');
+  const [first, second] = site.entries;
+  const order = () => second.node.orders.get('api')!;
+  await until(() => second.node.orders.has('api'));
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  first.node.settings.stop.graceSeconds = 0;
+  await first.stop();
+  const third = await startNode(site);
+  const elapsed = () => elapsedOf(third.node, third.node.orders.get('api')!);
+  t.true(third.node.clock() - third.node.orders.get('api')!.seenAt < 1_000);
+  second.node.settings.stop.graceSeconds = 0;
+  third.node.holding.reports.set('node-2', {
+    at: third.node.clock(),
+    reports: reportRollouts(second.node),
+  });
+  const known = knownElapsed(second.node, order());
+  t.true(known >= 1_500);
+  t.true(elapsed() >= known - 100);
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -118,6 +118,8 @@
   readonly keptFrom: string;
   /** How many of that list it knows. */
   readonly keptCount: number;
+  /** Time since the order, as far as the node knows, milliseconds. */
+  readonly elapsedMs: number;
 }
 /** What one node tells the holder of roll-outs. */
 export interface Consultation {
--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -79,6 +79,8 @@
 /** Shortest time at a share of the ramp: milliseconds, or part of the time. */
 const STEP_MS = 1_000;
 const STEP_PART = 0.04;
+/** Longest wait for nodes that do not follow a step of the ramp. */
+const FOLLOW_MS = 3_000;
 /** Requests that the version must have served before the ramp. */
 const MIN_SEEN = 12;
 /** Part of the time after which a version with little traffic moves on. */
@@ -156,7 +158,9 @@
 
 function rampUp(view: RolloutView): PlanChange | undefined {
   const {plan} = view;
-  if (!isStepOver(view) || !view.followed) return undefined;
+  if (!isStepOver(view)) return undefined;
+  // A node that is gone must not hold a good version up.
+  if (!view.followed && view.planAgeMs < FOLLOW_MS) return undefined;
   if (isDoubtful(view.freshRecent, view.old)) return undefined;
   const share = nextShare(plan.share);
   if (share === undefined) return undefined;
