--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -11,6 +11,7 @@
 import type {StoredItem} from '@parsleyarch/store/keyspace';
 import type {Subscriber} from './feed.js';
 import type {EntryNode, UpstreamState} from './node.js';
+import {forgetOrder} from './versions.js';
 
 /** Time after an outage in which entries may be missing, milliseconds. */
 const RETURN_MS = 2_000;
@@ -49,7 +50,9 @@
     return;
   }
   const {revision} = item;
-  if (node.orders.get(order.service)?.revision === revision) return;
+  const known = node.orders.get(order.service);
+  if (known?.revision === revision) return;
+  if (known) forgetOrder(node, known.revision);
   node.orders.set(order.service, {...order, revision, seenAt: node.clock()});
   node.log.info({...order, revision}, 'roll-out ordered');
 }
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -7,7 +7,12 @@
 import {wait} from '@parsleyarch/lifecycle/process';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {AnswerBody, Outcome} from './attempt.js';
-import {isRepeatable, isStream, type Exchange} from './exchange.js';
+import {
+  isRepeatable,
+  isStream,
+  RETRY_AFTER_MS,
+  type Exchange,
+} from './exchange.js';
 import {chooseLarger, noteGain} from './models.js';
 import type {EntryNode} from './node.js';
 import {collect, writeHead} from './relay.js';
@@ -22,8 +27,6 @@
 const ROOM_POLL_MS = 40;
 /** Longest wait for room, as a share of the objective. */
 const ROOM_SHARE = 0.125;
-/** When a caller may find room again, milliseconds. */
-const RETRY_AFTER_MS = 300;
 
 interface HeldAnswer {
   readonly answer: UpstreamAnswer;
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -19,7 +19,7 @@
 import type {Side} from './versions.js';
 
 /** Time after which a refused caller may find things changed, milliseconds. */
-const RETRY_AFTER_MS = 300;
+export const RETRY_AFTER_MS = 300;
 /** The same while the store is away, which is rarely over at once. */
 const STALE_RETRY_AFTER_MS = 1_200;
 
--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -32,7 +32,8 @@
 import type {EntryNode, KnownOrder} from './node.js';
 import {mergeKept, takeKept, type MergedSessions} from './kept-sessions.js';
 import {followedSequence, viewOf} from './rollout-view.js';
-import {planOf, reportRollouts} from './versions.js';
+import {reportRollouts} from './version-tallies.js';
+import {planOf} from './versions.js';
 
 /** Life of the lease without renewal, milliseconds. */
 const LEASE_MS = 3_000;
--- a/apps/router/src/entry/rollout-view.ts
+++ b/apps/router/src/entry/rollout-view.ts
@@ -3,7 +3,8 @@
 import type {VersionTally} from '@parsleyarch/policy/rollout';
 import type {RolloutPlan, RolloutView} from '@parsleyarch/policy/rollout-plan';
 import type {EntryNode, KnownOrder} from './node.js';
-import {knownElapsed, planOf, sumTallies} from './versions.js';
+import {sumTallies} from './version-tallies.js';
+import {knownElapsed, planOf} from './versions.js';
 
 /** Age after which a node's report no longer counts as its present state. */
 const REPORT_MEMORY_MS = 2_500;
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -10,7 +10,7 @@
   noteSend,
   type Selection,
 } from './selection.js';
-import {noteOutcome} from './versions.js';
+import {noteOutcome} from './version-tallies.js';
 
 /** Shares of the objective after which a silent upstream is given up. */
 const SILENT_SHARE = 0.6;
--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -23,8 +23,6 @@
   store: z.strictObject({
     address: z.url(),
     timeoutMs: milliseconds.default(1_000),
-    /** Shortest lease that the store grants. */
-    minLeaseMs: milliseconds.default(1_000),
   }),
   keys: z.strictObject({
     /** Whether keys are refused while the configuration may be outdated. */
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -4,7 +4,8 @@
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import {isShareReady} from '@parsleyarch/router/entry/kept-sessions';
 import {elapsedOf} from '@parsleyarch/router/entry/rollout-view';
-import {knownElapsed, reportRollouts} from '@parsleyarch/router/entry/versions';
+import {reportRollouts} from '@parsleyarch/router/entry/version-tallies';
+import {knownElapsed} from '@parsleyarch/router/entry/versions';
 import '../exit.js';
 import {
   call,
--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -30,7 +30,7 @@
     readiness: await address(),
     peers: await address(),
     metrics: await address(),
-    store: {address: store.server.address, timeoutMs: 500, minLeaseMs: 1_000},
+    store: {address: store.server.address, timeoutMs: 500},
     keys: {failClosed: true, revokeMs: 5_000},
     retries: {ratio: 0.9, windowSeconds: 10, slack: 56},
     cold: {over: 1.5, slack: 5},
