--- a/apps/router/src/stewards.ts
+++ b/apps/router/src/allocators.ts
@@ -1,4 +1,4 @@
-/** Stewards: who grants the credits of which upstreams, and the hand-over. */
+/** Allocators: who grants the credits of which upstreams, and the hand-over. */
 import {callPeer} from '@parsleyarch/peer/client';
 import type {
   CreditAnswer,
@@ -6,36 +6,36 @@
   Handover,
 } from '@parsleyarch/peer/messages';
 import {
-  createStewardship,
+  createAllocation,
   dropNodes,
   grantCredits,
   GRANT_TTL_MS,
   setLimits,
-  type Stewardship,
+  type Allocation,
 } from '@parsleyarch/protocol/credit';
 import {FRESH_BOUND_MS, Freshness} from '@parsleyarch/protocol/freshness';
-import {takeStewardship, tellStewardship} from '@parsleyarch/protocol/handover';
+import {takeAllocation, tellAllocation} from '@parsleyarch/protocol/handover';
 import type {Change} from '@parsleyarch/protocol/log';
 import {HEARD_BOUND_MS, isLive} from '@parsleyarch/protocol/membership';
 import {hashUnit, rank} from '@parsleyarch/protocol/rendezvous';
 import {find, list} from '@parsleyarch/resource/configuration';
-import type {Resource, StewardSpec} from '@parsleyarch/resource/schema';
+import type {Resource, AllocatorSpec} from '@parsleyarch/resource/schema';
 import {randomUUID} from 'node:crypto';
 import {append} from './config.js';
 import {decide} from './decisions.js';
 import {freshness, liveNames, peerAddress, type RouterNode} from './node.js';
 
-/** Groups into which upstreams are divided; each has one steward. */
+/** Groups into which upstreams are divided; each has one allocator. */
 const GROUPS = 16;
 /** The group whose holder steps roll-outs and writes snapshots. */
 export const CONTROL_GROUP = 'control';
-/** Allowance for clocks and calls in the wait of a new steward. */
+/** Allowance for clocks and calls in the wait of a new allocator. */
 const TAKEOVER_SLACK_MS = 500;
 const HANDOVER_TIMEOUT_MS = 500;
 /** Time after which a former holder that was cut off acts no more. */
 export const TAKEOVER_WAIT_MS = FRESH_BOUND_MS + TAKEOVER_SLACK_MS;
 
-type StewardChange = Change<'Steward'>;
+type AllocatorChange = Change<'Allocator'>;
 
 /** The group of an upstream. */
 export function groupOf(upstream: string): string {
@@ -46,8 +46,8 @@
 export function holderOf(
   node: RouterNode,
   group: string,
-): Resource<'Steward'> | undefined {
-  return find(node.configuration, 'Steward', group);
+): Resource<'Allocator'> | undefined {
+  return find(node.configuration, 'Allocator', group);
 }
 
 /** Whether this node holds a group and may act on that. */
@@ -59,7 +59,7 @@
   return freshness(node) !== Freshness.stale;
 }
 
-function isHolderUp(node: RouterNode, holder: StewardSpec): boolean {
+function isHolderUp(node: RouterNode, holder: AllocatorSpec): boolean {
   if (holder.released) return false;
   if (holder.node === node.name) return holder.incarnation === node.incarnation;
   if (!node.membership.listed.has(holder.node)) return false;
@@ -78,7 +78,7 @@
 }
 
 /** Takes over groups without a holder for which this node comes first. */
-export async function stewardStep(node: RouterNode): Promise<void> {
+export async function allocatorStep(node: RouterNode): Promise<void> {
   if (node.stopping || freshness(node) !== Freshness.confirmed) return;
   const live = liveNames(node);
   const changes = [];
@@ -86,20 +86,20 @@
     const holder = holderOf(node, group);
     if (holder && isHolderUp(node, holder.spec)) continue;
     if (rank(group, live)[0] !== node.name) continue;
-    const spec: StewardSpec = {
+    const spec: AllocatorSpec = {
       node: node.name,
       incarnation: node.incarnation,
       epoch: (holder?.spec.epoch ?? 0) + 1,
       released: false,
     };
     const expect = holder?.revision ?? 0;
-    changes.push({kind: 'Steward' as const, name: group, spec, expect});
+    changes.push({kind: 'Allocator' as const, name: group, spec, expect});
   }
   if (changes.length === 0) return;
   const author = `node/${node.name}`;
   const result = await append(node, {changeId: randomUUID(), author, changes});
   decide(node, {
-    decision: 'steward',
+    decision: 'allocator',
     candidates: live,
     choice: node.name,
     reason: result.isOk() ? 'taken' : result.error.message,
@@ -109,9 +109,9 @@
 
 function handoverOf(node: RouterNode, group: string, epoch: number): Handover {
   const upstreams = [];
-  for (const [upstream, state] of node.stewardships) {
+  for (const [upstream, state] of node.allocations) {
     if (groupOf(upstream) !== group) continue;
-    const told = tellStewardship(state, node.clock());
+    const told = tellAllocation(state, node.clock());
     if (told) upstreams.push({upstream, ...told});
   }
   return {group, epoch, upstreams};
@@ -121,13 +121,13 @@
 async function handOver(
   node: RouterNode,
   group: string,
-  {spec, revision}: Resource<'Steward'>,
-): Promise<StewardChange> {
+  {spec, revision}: Resource<'Allocator'>,
+): Promise<AllocatorChange> {
   const others = liveNames(node).filter(name => name !== node.name);
   const [successor] = rank(group, others);
   const beat = successor && node.membership.beats.get(successor)?.beat;
   const address = successor && peerAddress(node, successor);
-  const change = {kind: 'Steward' as const, name: group, expect: revision};
+  const change = {kind: 'Allocator' as const, name: group, expect: revision};
   if (!beat || !address) return {...change, spec: {...spec, released: true}};
   const epoch = spec.epoch + 1;
   const handover = handoverOf(node, group, epoch);
@@ -145,7 +145,7 @@
  * so that it grants nothing after what it tells its successors.
  */
 export async function leaveGroups(node: RouterNode): Promise<void> {
-  const held = list(node.configuration, 'Steward').filter(
+  const held = list(node.configuration, 'Allocator').filter(
     ({spec}) =>
       spec.node === node.name &&
       spec.incarnation === node.incarnation &&
@@ -153,64 +153,64 @@
   );
   if (held.length === 0) return;
   const changes = await Promise.all(
-    held.map(steward => handOver(node, steward.name, steward)),
+    held.map(allocator => handOver(node, allocator.name, allocator)),
   );
   const author = `node/${node.name}`;
   await append(node, {changeId: randomUUID(), author, changes});
 }
 
-/** Remembers what a leaving steward tells; used once the group is ours. */
+/** Remembers what a leaving allocator tells; used once the group is ours. */
 export function takeHandover(node: RouterNode, handover: Handover): void {
   node.handovers.set(handover.group, {handover, at: node.clock()});
 }
 
-/** The stewardship that a leaving steward handed over, if it did. */
+/** The allocation that a leaving allocator handed over, if it did. */
 function handedOver(
   node: RouterNode,
   {name, spec}: Resource<'Upstream'>,
   epoch: number,
-): Stewardship | undefined {
+): Allocation | undefined {
   const known = node.handovers.get(groupOf(name));
   if (known?.handover.epoch !== epoch) return undefined;
   const told = known.handover.upstreams.find(u => u.upstream === name);
   if (!told) return undefined;
-  return takeStewardship(told, known.at, spec.coldLimit, spec.warmLimit);
+  return takeAllocation(told, known.at, spec.coldLimit, spec.warmLimit);
 }
 
-/** Time that a new steward waits before its first grant. */
-function takeoverWait(holder: StewardSpec, released: boolean): number {
+/** Time that a new allocator waits before its first grant. */
+function takeoverWait(holder: AllocatorSpec, released: boolean): number {
   if (holder.epoch <= 1) return 0;
   const silence = GRANT_TTL_MS + TAKEOVER_SLACK_MS;
   return released ? silence : FRESH_BOUND_MS + silence;
 }
 
-/** The first state of a stewardship that this node has just been given. */
-function beginStewardship(
+/** The first state of an allocation that this node has just been given. */
+function beginAllocation(
   node: RouterNode,
   upstream: Resource<'Upstream'>,
-  holder: StewardSpec,
+  holder: AllocatorSpec,
   released: boolean,
-): Stewardship {
+): Allocation {
   const told = handedOver(node, upstream, holder.epoch);
   if (told) return told;
   const {coldLimit, warmLimit} = upstream.spec;
   const notBefore = node.clock() + takeoverWait(holder, released);
   if (holder.epoch <= 1)
-    return createStewardship(coldLimit, warmLimit, notBefore, []);
+    return createAllocation(coldLimit, warmLimit, notBefore, []);
   const awaited = [...node.membership.listed.keys()];
   const silent = awaited.filter(
     name => !isLive(node.membership, name, node.clock()),
   );
-  return createStewardship(coldLimit, warmLimit, notBefore, awaited, silent);
+  return createAllocation(coldLimit, warmLimit, notBefore, awaited, silent);
 }
 
 /**
- * Keeps stewardships in step with the configuration; called after each change
+ * Keeps allocations in step with the configuration; called after each change
  * with the holders as they were before it.
  */
-export function syncStewardships(
+export function syncAllocations(
   node: RouterNode,
-  before: ReadonlyMap<string, Resource<'Steward'>>,
+  before: ReadonlyMap<string, Resource<'Allocator'>>,
 ): void {
   const kept = new Set<string>();
   for (const upstream of list(node.configuration, 'Upstream')) {
@@ -220,19 +220,19 @@
     if (!holder || holder.released || holder.node !== node.name) continue;
     if (holder.incarnation !== node.incarnation) continue;
     kept.add(name);
-    const known = node.stewardships.get(name);
+    const known = node.allocations.get(name);
     const released = before.get(group)?.spec.released ?? false;
     const state = known
       ? setLimits(known, spec.coldLimit, spec.warmLimit)
-      : beginStewardship(node, upstream, holder, released);
-    node.stewardships.set(name, state);
+      : beginAllocation(node, upstream, holder, released);
+    node.allocations.set(name, state);
   }
-  for (const name of node.stewardships.keys()) {
-    if (!kept.has(name)) node.stewardships.delete(name);
+  for (const name of node.allocations.keys()) {
+    if (!kept.has(name)) node.allocations.delete(name);
   }
 }
 
-/** Answers asks for upstreams of which this node is the steward. */
+/** Answers asks for upstreams of which this node is the allocator. */
 export function answerAsks(
   node: RouterNode,
   asks: readonly CreditAsk[],
@@ -241,14 +241,14 @@
   const {listed} = node.membership;
   for (const ask of asks) {
     if (!holdsGroup(node, groupOf(ask.upstream))) continue;
-    const known = node.stewardships.get(ask.upstream);
+    const known = node.allocations.get(ask.upstream);
     if (!known) continue;
     const present = dropNodes(
       known,
       name => name !== node.name && !listed.has(name),
     );
     const {state, grant} = grantCredits(present, ask, node.clock());
-    node.stewardships.set(ask.upstream, state);
+    node.allocations.set(ask.upstream, state);
     answers.push({upstream: ask.upstream, ...grant});
   }
   return answers;
--- a/apps/router/src/cli/declarations.ts
+++ b/apps/router/src/cli/declarations.ts
@@ -70,7 +70,7 @@
 ): Promise<Result<Resource[], Failure>> {
   const found: Resource[] = [];
   for (const kind of KINDS) {
-    if (kind === 'Steward') continue;
+    if (kind === 'Allocator') continue;
     const answer = await call(remote, 'GET', `/v1/${kind}`);
     if (answer.isErr()) return err(answer.error);
     found.push(...(answer.value as {items: Resource[]}).items);
--- a/apps/router/src/control.ts
+++ b/apps/router/src/control.ts
@@ -5,7 +5,7 @@
 import type {Resource} from '@parsleyarch/resource/schema';
 import {randomUUID} from 'node:crypto';
 import {append, snapshotStep} from './config.js';
-import {CONTROL_GROUP, holdsGroup} from './stewards.js';
+import {CONTROL_GROUP, holdsGroup} from './allocators.js';
 import {decide} from './decisions.js';
 import {tallyOf} from './learning.js';
 import type {RouterNode} from './node.js';
--- a/apps/router/src/credits.ts
+++ b/apps/router/src/credits.ts
@@ -1,4 +1,4 @@
-/** Credits: what this node asks of stewards, and how it uses what it gets. */
+/** Credits: what this node asks of allocators, and how it uses what it gets. */
 import {callPeer} from '@parsleyarch/peer/client';
 import type {CreditAnswer, CreditAsk} from '@parsleyarch/peer/messages';
 import {canServe} from '@parsleyarch/policy/balance';
@@ -8,7 +8,7 @@
   type RouterNode,
   type UpstreamState,
 } from './node.js';
-import {answerAsks, groupOf, holderOf} from './stewards.js';
+import {answerAsks, groupOf, holderOf} from './allocators.js';
 import {goodCredits, viewUpstreams} from './upstreams.js';
 
 const ASK_TIMEOUT_MS = 500;
@@ -39,7 +39,7 @@
   return pool.startsWith('version:') ? {version: name} : {service: name};
 }
 
-/** Whether a round has anything to say or to ask of an upstream's steward. */
+/** Whether a round has anything to say or to ask of an upstream's allocator. */
 function needsAsk(
   upstream: UpstreamState,
   waiting: number,
@@ -48,7 +48,7 @@
   if (upstream.running.size > 0 || waiting > 0) return true;
   if (upstream.succeeded > 0 || upstream.failed) return true;
   if ((upstream.grant?.credits ?? 0) > 0) return true;
-  // A new steward awaits one report of every node.
+  // A new allocator awaits one report of every node.
   return upstream.reportedTo !== holder;
 }
 
--- a/apps/router/src/node.ts
+++ b/apps/router/src/node.ts
@@ -15,7 +15,7 @@
 } from '@parsleyarch/policy/admission';
 import {EMPTY_BOOK, type PoisonBook} from '@parsleyarch/policy/poison';
 import type {Bill} from '@parsleyarch/protocol/bill';
-import type {CreditGrant, Stewardship} from '@parsleyarch/protocol/credit';
+import type {CreditGrant, Allocation} from '@parsleyarch/protocol/credit';
 import {createEvidence, type Evidence} from '@parsleyarch/protocol/evidence';
 import {
   judgeFreshness,
@@ -77,7 +77,7 @@
   /** Requests broken off lately, with the time of the break. */
   lost: Array<{readonly at: number; readonly running: Running}>;
   grant?: HeldGrant;
-  /** Term of the steward that has had a report: node and epoch. */
+  /** Term of the allocator that has had a report: node and epoch. */
   reportedTo?: string;
   succeeded: number;
   failed: boolean;
@@ -139,8 +139,8 @@
   stopping: boolean;
   active: number;
   readonly upstreams: Map<string, UpstreamState>;
-  readonly stewardships: Map<string, Stewardship>;
-  /** What leaving stewards have told, by group, with the time it came. */
+  readonly allocations: Map<string, Allocation>;
+  /** What leaving allocators have told, by group, with the time it came. */
   readonly handovers: Map<string, {handover: Handover; at: number}>;
   readonly queues: Map<string, Queue>;
   readonly waiting: Map<string, Waiting>;
@@ -208,7 +208,7 @@
     stopping: false,
     active: 0,
     upstreams: new Map(),
-    stewardships: new Map(),
+    allocations: new Map(),
     handovers: new Map(),
     queues: new Map(),
     waiting: new Map(),
--- a/apps/router/src/operators.ts
+++ b/apps/router/src/operators.ts
@@ -78,8 +78,8 @@
   for (const {kind, name, spec, expect} of parsed.data.changes) {
     const known = kindOf(kind);
     if (known.isErr()) return err(known.error);
-    if (known.value === 'Steward')
-      return raise('forbidden', 'stewards are assigned by the nodes');
+    if (known.value === 'Allocator')
+      return raise('forbidden', 'allocators are assigned by the nodes');
     if (spec === undefined) {
       changes.push({kind: known.value, name, expect});
       continue;
--- a/apps/router/src/peering.ts
+++ b/apps/router/src/peering.ts
@@ -6,7 +6,7 @@
 import {beatsToTell} from './gossip.js';
 import type {RouterNode} from './node.js';
 import {answerPin, takePinCopies} from './sessions.js';
-import {answerAsks, takeHandover} from './stewards.js';
+import {answerAsks, takeHandover} from './allocators.js';
 
 /** Handlers of the peer listener. */
 export function peerHandlers(
--- a/apps/router/src/placement.ts
+++ b/apps/router/src/placement.ts
@@ -10,7 +10,7 @@
 import {sendOrder} from '@parsleyarch/upstream/engine';
 import {decide} from './decisions.js';
 import type {RouterNode} from './node.js';
-import {CONTROL_GROUP, holdsGroup, TAKEOVER_WAIT_MS} from './stewards.js';
+import {CONTROL_GROUP, holdsGroup, TAKEOVER_WAIT_MS} from './allocators.js';
 
 /** Longest time that an order is under way, and that its load may take. */
 const ORDER_TIMEOUT_MS = 2_000;
@@ -160,7 +160,7 @@
   state: PlacementState,
 ): Promise<void> {
   if (!holdsGroup(node, CONTROL_GROUP)) return;
-  const fence = find(node.configuration, 'Steward', CONTROL_GROUP)?.revision;
+  const fence = find(node.configuration, 'Allocator', CONTROL_GROUP)?.revision;
   if (fence !== state.fence) {
     state.fence = fence ?? 0;
     state.heldSince = node.clock();
--- a/apps/router/src/serve.ts
+++ b/apps/router/src/serve.ts
@@ -19,7 +19,7 @@
 import {peerHandlers} from './peering.js';
 import {spreadPins} from './sessions.js';
 import type {Settings} from './settings.js';
-import {leaveGroups, stewardStep, syncStewardships} from './stewards.js';
+import {leaveGroups, allocatorStep, syncAllocations} from './allocators.js';
 import {closeUpstreams, syncUpstreams} from './upstreams.js';
 
 /** Pauses between the rounds of each process, milliseconds. */
@@ -27,7 +27,7 @@
   tail: 100,
   beat: 800,
   vmList: 2_000,
-  steward: 500,
+  allocator: 500,
   credit: 300,
   bills: 1_000,
   copies: 1_000,
@@ -41,11 +41,11 @@
 const DRAIN_POLL_MS = 50;
 
 function followConfiguration(node: RouterNode): void {
-  let stewards = node.configuration.tables.Steward;
+  let allocators = node.configuration.tables.Allocator;
   const sync = () => {
     syncUpstreams(node);
-    syncStewardships(node, stewards);
-    stewards = node.configuration.tables.Steward;
+    syncAllocations(node, allocators);
+    allocators = node.configuration.tables.Allocator;
     brakeHarmful(node);
     node.wakeCredits();
   };
@@ -131,7 +131,7 @@
   run(node, 'tail', PAUSE_MS.tail, () => tailStep(node));
   run(node, 'beat', PAUSE_MS.beat, () => beatStep(node));
   run(node, 'vm-list', PAUSE_MS.vmList, () => vmListStep(node));
-  run(node, 'steward', PAUSE_MS.steward, () => stewardStep(node));
+  run(node, 'allocator', PAUSE_MS.allocator, () => allocatorStep(node));
   run(node, 'bills', PAUSE_MS.bills, () => writeBills(node));
   run(node, 'copies', PAUSE_MS.copies, () => writeCopies(node));
   run(node, 'control', PAUSE_MS.control, () => controlStep(node, starts));
--- a/apps/router/test/cold.test.ts
+++ b/apps/router/test/cold.test.ts
@@ -56,13 +56,13 @@
   return overload;
 }
 
-async function stewardOf(upstream: string): Promise<string> {
+async function allocatorOf(upstream: string): Promise<string> {
   const [node] = scenario.cluster.nodes;
-  const answer = await operate(node, 'GET', '/v1/Steward');
+  const answer = await operate(node, 'GET', '/v1/Allocator');
   const {items} = answer.json as {
     items: Array<{name: string; spec: {node: string}}>;
   };
-  const {groupOf} = await import('../src/stewards.js');
+  const {groupOf} = await import('../src/allocators.js');
   const group = items.find(item => item.name === groupOf(upstream));
   return group!.spec.node;
 }
@@ -94,7 +94,7 @@
 
 test.serial('a silent cold turn is noticed from the load report', async t => {
   const [engine] = engines();
-  // The last successes before the turn are not reported to the steward yet.
+  // The last successes before the turn are not reported to the allocator yet.
   await flood(2);
   turnCold(engine);
   // The report that shows it comes a period later.
@@ -106,17 +106,20 @@
 });
 
 test.serial(
-  'a killed steward is replaced, and the limit still holds',
+  'a killed allocator is replaced, and the limit still holds',
   async t => {
     const [name] = scenario.engines.instances.keys();
-    const old = await stewardOf(name);
+    const old = await allocatorOf(name);
     const victim = scenario.cluster.nodes.find(node => node.name === old)!;
     const traffic = flood(6, old);
     await victim.kill();
     await traffic;
     scenario.cluster.vmList.vms.delete(old);
     scenario.cluster.nodes.splice(scenario.cluster.nodes.indexOf(victim), 1);
-    await until('a new steward', async () => (await stewardOf(name)) !== old);
+    await until(
+      'a new allocator',
+      async () => (await allocatorOf(name)) !== old,
+    );
     const [engine] = engines();
     const before = engine.begun.get('hymn-1') ?? 0;
     await until('work on the upstream again', async () => {
@@ -128,15 +131,15 @@
 );
 
 test.serial(
-  'a frozen steward that wakes grants nothing beyond the limit',
+  'a frozen allocator that wakes grants nothing beyond the limit',
   async t => {
     const [, name] = scenario.engines.instances.keys();
-    const old = await stewardOf(name);
+    const old = await allocatorOf(name);
     const paused = scenario.cluster.nodes.find(node => node.name === old)!;
     paused.freeze();
-    await until('a new steward', async () => {
+    await until('a new allocator', async () => {
       const others = scenario.cluster.nodes.filter(node => node !== paused);
-      const answer = await operate(others[0], 'GET', '/v1/Steward');
+      const answer = await operate(others[0], 'GET', '/v1/Allocator');
       const {items} = answer.json as {items: Array<{spec: {node: string}}>};
       return items.every(item => item.spec.node !== old);
     });
--- a/apps/router/test/config.test.ts
+++ b/apps/router/test/config.test.ts
@@ -140,7 +140,7 @@
   async t => {
     const {cluster} = scenario;
     takeDown(cluster.store);
-    // Nodes append steward entries of their own: the newest that any holds.
+    // Nodes append allocator entries of their own: the newest that any holds.
     const revisions = await Promise.all(cluster.nodes.map(revisionOf));
     const revision = Math.max(...revisions);
     const fresh = await addNode(cluster, 'vm-4', 'gulberg');
--- a/apps/router/test/placement.test.ts
+++ b/apps/router/test/placement.test.ts
@@ -86,18 +86,21 @@
 
 test.serial('a frozen controller that wakes changes nothing', async t => {
   const {nodes} = scenario.cluster;
-  const steward = async () => {
+  const allocator = async () => {
     const [first, second] = nodes;
     const asked = first.name === old ? second : first;
-    const answer = await operate(asked, 'GET', '/v1/Steward/control');
+    const answer = await operate(asked, 'GET', '/v1/Allocator/control');
     return answer.json as {spec: {node: string}; revision: number};
   };
   let old = '';
-  old = (await steward()).spec.node;
+  old = (await allocator()).spec.node;
   const paused = nodes.find(node => node.name === old)!;
   paused.freeze();
-  await until('a new holder', async () => (await steward()).spec.node !== old);
-  const {revision} = await steward();
+  await until(
+    'a new holder',
+    async () => (await allocator()).spec.node !== old,
+  );
+  const {revision} = await allocator();
   const other = nodes.find(node => node !== paused)!;
   await declare(other, [version('hymn-1', 1), version('hymn-2', 1)]);
   await until('an order of the new holder', () =>
--- a/apps/router/test/rollout.test.ts
+++ b/apps/router/test/rollout.test.ts
@@ -83,8 +83,8 @@
       return (await stateOf()).step >= 1;
     });
     const {nodes, vmList} = scenario.cluster;
-    const steward = await operate(nodes[0], 'GET', '/v1/Steward/control');
-    const holder = (steward.json as {spec: {node: string}}).spec.node;
+    const allocator = await operate(nodes[0], 'GET', '/v1/Allocator/control');
+    const holder = (allocator.json as {spec: {node: string}}).spec.node;
     const index = nodes.findIndex(node => node.name === holder);
     await nodes[index].kill();
     nodes.splice(index, 1);
--- a/apps/standins/src/demo.ts
+++ b/apps/standins/src/demo.ts
@@ -254,7 +254,7 @@
 function showDecisions(cluster: Cluster): void {
   const lines = readFileSync(cluster.nodes[0].logFile, 'utf8').split('\n');
   console.log('\nsome decision lines of vm-1:');
-  for (const decision of ['path', 'upstream', 'service', 'steward']) {
+  for (const decision of ['path', 'upstream', 'service', 'allocator']) {
     const line = lines.find(text => text.includes(`"decision":"${decision}"`));
     if (line) console.log(`  ${line}`);
   }
--- a/apps/standins/src/measures/cost.ts
+++ b/apps/standins/src/measures/cost.ts
@@ -1,6 +1,6 @@
 /** What control costs a node as nodes and upstreams grow, and a request's cost. */
 import {chooseUpstream, type UpstreamView} from '@parsleyarch/policy/balance';
-import {grantCredits, createStewardship} from '@parsleyarch/protocol/credit';
+import {grantCredits, createAllocation} from '@parsleyarch/protocol/credit';
 import {
   applyVmList,
   createMembership,
@@ -174,7 +174,7 @@
   };
 }
 
-/** Time of one call of the pure steward and membership, microseconds. */
+/** Time of one call of the pure allocator and membership, microseconds. */
 function pureCost() {
   const ROUNDS = 20_000;
   const figures: Record<string, unknown> = {};
@@ -208,7 +208,7 @@
     );
   }
   for (const askers of [4, 16, 64]) {
-    let state = createStewardship(2, 400, 0, []);
+    let state = createAllocation(2, 400, 0, []);
     const startedAt = performance.now();
     for (let turn = 0; turn < ROUNDS; turn += 1) {
       ({state} = grantCredits(
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between nodes, as peer.proto defines them. */
 import type {Bill} from '@parsleyarch/protocol/bill';
 import type {CreditGrant, CreditRequest} from '@parsleyarch/protocol/credit';
-import type {ToldStewardship} from '@parsleyarch/protocol/handover';
+import type {ToldAllocation} from '@parsleyarch/protocol/handover';
 import type {Heartbeat} from '@parsleyarch/protocol/membership';
 
 /** Heartbeats that a node knows, its own first. */
@@ -23,11 +23,11 @@
 export interface CreditAsk extends CreditRequest {
   readonly upstream: string;
 }
-/** Asks of one round to one steward. */
+/** Asks of one round to one allocator. */
 export interface CreditAsks {
   readonly asks: readonly CreditAsk[];
 }
-/** A steward's answer for one upstream. */
+/** An allocator's answer for one upstream. */
 export interface CreditAnswer extends CreditGrant {
   readonly upstream: string;
 }
@@ -35,16 +35,16 @@
 export interface CreditAnswers {
   readonly answers: readonly CreditAnswer[];
 }
-/** What a leaving steward tells of one upstream. */
-export interface StewardedUpstream extends ToldStewardship {
+/** What a leaving allocator tells of one upstream. */
+export interface AllocatedUpstream extends ToldAllocation {
   readonly upstream: string;
 }
-/** What a leaving steward tells of one group. */
+/** What a leaving allocator tells of one group. */
 export interface Handover {
   readonly group: string;
   /** Epoch with which the receiver will hold the group. */
   readonly epoch: number;
-  readonly upstreams: readonly StewardedUpstream[];
+  readonly upstreams: readonly AllocatedUpstream[];
 }
 /** A copy of part of a batch, or word that it is written. */
 export interface BillCopy {
--- a/packages/policy/src/balance.ts
+++ b/packages/policy/src/balance.ts
@@ -17,7 +17,7 @@
   readonly inFlight: number;
   /** Load by the last report, all nodes together. */
   readonly reportedRunning: number;
-  /** Limit over all nodes, by the steward. */
+  /** Limit over all nodes, by the allocator. */
   readonly limit: number;
   /** Requests suspected of crashing upstreams that run there. */
   readonly suspects: number;
--- a/packages/protocol/src/credit.ts
+++ b/packages/protocol/src/credit.ts
@@ -1,5 +1,5 @@
 /**
- * Concurrency credits. One node, the steward of an upstream, grants credits
+ * Concurrency credits. One node, the allocator of an upstream, grants credits
  * with an expiry; other nodes dispatch only on credits that they hold. Pure
  * functions only.
  */
@@ -21,8 +21,8 @@
   readonly expiresAt: number;
 }
 
-/** The steward's state for one upstream. */
-export interface Stewardship {
+/** The allocator's state for one upstream. */
+export interface Allocation {
   readonly coldLimit: number;
   readonly warmLimit: number;
   /** Concurrency now allowed over all nodes. */
@@ -31,11 +31,11 @@
   readonly successes: number;
   /** Start of the upstream that the limit belongs to; grows with each start. */
   readonly upstreamIncarnation: number;
-  /** No grants before this time: the former steward's must have run out. */
+  /** No grants before this time: the former allocator's must have run out. */
   readonly notBefore: number;
   /** Nodes that may still run requests which they have not reported. */
   readonly awaited: ReadonlySet<string>;
-  /** Those among them that were silent already when this steward was named. */
+  /** Those among them that were silent already when this allocator was named. */
   readonly silent: ReadonlySet<string>;
   readonly grants: ReadonlyMap<string, Grant>;
 }
@@ -62,7 +62,7 @@
   readonly failed: boolean;
 }
 
-/** The steward's answer. */
+/** The allocator's answer. */
 export interface CreditGrant {
   readonly credits: number;
   readonly ttlMs: number;
@@ -72,17 +72,17 @@
 }
 
 /**
- * A stewardship that grants nothing before `notBefore` and, for as long as a
+ * An allocation that grants nothing before `notBefore` and, for as long as a
  * request can last, until each awaited node has reported. See `isWaiting` for
  * upstreams that are warm.
  */
-export function createStewardship(
+export function createAllocation(
   coldLimit: number,
   warmLimit: number,
   notBefore: number,
   awaited: Iterable<string>,
   silent: Iterable<string> = [],
-): Stewardship {
+): Allocation {
   return {
     coldLimit,
     warmLimit,
@@ -97,10 +97,7 @@
 }
 
 /** Back to the cold limit for a new start of the upstream. */
-function turnCold(
-  state: Stewardship,
-  upstreamIncarnation: number,
-): Stewardship {
+function turnCold(state: Allocation, upstreamIncarnation: number): Allocation {
   return {
     ...state,
     limit: state.coldLimit,
@@ -110,7 +107,7 @@
 }
 
 /** Adds one to the limit after as many successes as the limit is wide. */
-function grow(state: Stewardship, succeeded: number): Stewardship {
+function grow(state: Allocation, succeeded: number): Allocation {
   let {limit} = state;
   let successes = state.successes + succeeded;
   while (limit < state.warmLimit && successes >= limit) {
@@ -130,7 +127,7 @@
   return now <= grant.expiresAt + MAX_REQUEST_MS ? grant.credits : 0;
 }
 
-function heldByOthers(state: Stewardship, node: string, now: number): number {
+function heldByOthers(state: Allocation, node: string, now: number): number {
   let held = 0;
   for (const [holder, grant] of state.grants) {
     if (holder !== node) held += heldBy(grant, now);
@@ -138,7 +135,7 @@
   return held;
 }
 
-function activeNodes(state: Stewardship, node: string, now: number): number {
+function activeNodes(state: Allocation, node: string, now: number): number {
   let active = 1;
   for (const [holder, grant] of state.grants) {
     if (holder === node || now > grant.expiresAt) continue;
@@ -148,11 +145,11 @@
 }
 
 /**
- * Whether a steward cannot yet know all that nodes may be using. For a cold
+ * Whether an allocator cannot yet know all that nodes may be using. For a cold
  * upstream that must be certain. One whose full limit has been recalled bears
  * an error of a few requests: it waits only for the nodes that are up.
  */
-export function isWaiting(state: Stewardship, now: number): boolean {
+export function isWaiting(state: Allocation, now: number): boolean {
   const {awaited, silent, notBefore, limit, warmLimit} = state;
   if (limit >= warmLimit && now < notBefore) {
     for (const node of awaited) if (!silent.has(node)) return true;
@@ -163,17 +160,17 @@
   return awaited.size > 0 && now < notBefore + MAX_REQUEST_MS;
 }
 
-/** Takes over the limit that an earlier steward had learned. */
-function recallLimit(state: Stewardship, knownLimit: number): Stewardship {
+/** Takes over the limit that an earlier allocator had learned. */
+function recallLimit(state: Allocation, knownLimit: number): Allocation {
   const limit = Math.min(Math.max(state.limit, knownLimit), state.warmLimit);
   return {...state, limit};
 }
 
 function adoptReport(
-  state: Stewardship,
+  state: Allocation,
   request: CreditRequest,
   now: number,
-): Stewardship {
+): Allocation {
   if (request.upstreamIncarnation < state.upstreamIncarnation) return state;
   const known =
     request.upstreamIncarnation > state.upstreamIncarnation
@@ -184,14 +181,14 @@
   return grow(known, request.succeeded);
 }
 
-function withoutAwaited(state: Stewardship, node: string): Stewardship {
+function withoutAwaited(state: Allocation, node: string): Allocation {
   if (!state.awaited.has(node)) return state;
   const awaited = new Set(state.awaited);
   awaited.delete(node);
   return {...state, awaited};
 }
 
-function isOldAsk(state: Stewardship, request: CreditRequest): boolean {
+function isOldAsk(state: Allocation, request: CreditRequest): boolean {
   const known = state.grants.get(request.node);
   if (!known) return false;
   if (known.incarnation !== request.incarnation)
@@ -200,7 +197,7 @@
 }
 
 function countCredits(
-  state: Stewardship,
+  state: Allocation,
   request: CreditRequest,
   now: number,
 ): number {
@@ -220,10 +217,10 @@
  * counts in full until the node's next ask shows that it has let go.
  */
 export function grantCredits(
-  state: Stewardship,
+  state: Allocation,
   request: CreditRequest,
   now: number,
-): {state: Stewardship; grant: CreditGrant} {
+): {state: Allocation; grant: CreditGrant} {
   const {upstreamIncarnation} = request;
   if (isOldAsk(state, request)) {
     const none = {credits: 0, ttlMs: 0, limit: state.limit};
@@ -252,9 +249,9 @@
 
 /** Frees what nodes held that are gone for certain: their connections ended. */
 export function dropNodes(
-  state: Stewardship,
+  state: Allocation,
   gone: (node: string) => boolean,
-): Stewardship {
+): Allocation {
   const grants = new Map(state.grants);
   const awaited = new Set(state.awaited);
   for (const node of state.grants.keys()) {
@@ -268,10 +265,10 @@
 
 /** Follows a change of the declared limits without losing the learned one. */
 export function setLimits(
-  state: Stewardship,
+  state: Allocation,
   coldLimit: number,
   warmLimit: number,
-): Stewardship {
+): Allocation {
   const limit = Math.min(Math.max(state.limit, coldLimit), warmLimit);
   return {...state, coldLimit, warmLimit, limit};
 }
--- a/packages/protocol/src/handover.ts
+++ b/packages/protocol/src/handover.ts
@@ -1,10 +1,10 @@
-/** What a leaving steward tells its successor, so that it can grant at once. */
+/** What a leaving allocator tells its successor, so that it can grant at once. */
 import {
-  createStewardship,
+  createAllocation,
   isWaiting,
   setLimits,
   type Grant,
-  type Stewardship,
+  type Allocation,
 } from './credit.js';
 
 /** A grant as it is told; times are relative, since clocks differ. */
@@ -17,8 +17,8 @@
   readonly ttlMs: number;
 }
 
-/** A stewardship as it is told. */
-export interface ToldStewardship {
+/** An allocation as it is told. */
+export interface ToldAllocation {
   readonly limit: number;
   readonly successes: number;
   readonly upstreamIncarnation: number;
@@ -26,13 +26,13 @@
 }
 
 /**
- * Describes a stewardship that grants nothing from now on. A steward that still
+ * Describes an allocation that grants nothing from now on. An allocator that still
  * waits for reports does not know all that is held, and has nothing to tell.
  */
-export function tellStewardship(
-  state: Stewardship,
+export function tellAllocation(
+  state: Allocation,
   now: number,
-): ToldStewardship | undefined {
+): ToldAllocation | undefined {
   if (isWaiting(state, now)) return undefined;
   const {limit, successes, upstreamIncarnation} = state;
   const grants = [...state.grants].map(([node, grant]) => ({
@@ -45,18 +45,18 @@
   return {limit, successes, upstreamIncarnation, grants};
 }
 
-/** Takes over a stewardship that was told at a local time. */
-export function takeStewardship(
-  told: ToldStewardship,
+/** Takes over an allocation that was told at a local time. */
+export function takeAllocation(
+  told: ToldAllocation,
   toldAt: number,
   coldLimit: number,
   warmLimit: number,
-): Stewardship {
+): Allocation {
   const grants = new Map<string, Grant>();
   for (const {node, ttlMs, ...grant} of told.grants)
     grants.set(node, {...grant, expiresAt: toldAt + ttlMs});
   const {limit, successes, upstreamIncarnation} = told;
-  const fresh = createStewardship(coldLimit, warmLimit, 0, []);
+  const fresh = createAllocation(coldLimit, warmLimit, 0, []);
   const state = {...fresh, limit, successes, upstreamIncarnation, grants};
   return setLimits(state, coldLimit, warmLimit);
 }
--- a/packages/protocol/test/credit.test.ts
+++ b/packages/protocol/test/credit.test.ts
@@ -1,14 +1,14 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-  createStewardship,
+  createAllocation,
   dropNodes,
   grantCredits,
   GRANT_TTL_MS,
   type CreditRequest,
-  type Stewardship,
+  type Allocation,
 } from '../src/credit.js';
-import {takeStewardship, tellStewardship} from '../src/handover.js';
+import {takeAllocation, tellAllocation} from '../src/handover.js';
 
 const COLD = 2;
 const WARM = 10;
@@ -56,7 +56,7 @@
   const history = fc.array(step, {maxLength: 120});
   fc.assert(
     fc.property(history, steps => {
-      let state: Stewardship = createStewardship(COLD, WARM, 0, []);
+      let state: Allocation = createAllocation(COLD, WARM, 0, []);
       let now = 0;
       const askers: Asker[] = Array.from({length: 5}, () => ({
         running: 0,
@@ -105,7 +105,7 @@
 }
 
 test('the limit grows by successes and falls back with a new start', t => {
-  let state = createStewardship(COLD, WARM, 0, []);
+  let state = createAllocation(COLD, WARM, 0, []);
   ({state} = grantCredits(state, ask('a'), 0));
   t.is(state.limit, COLD);
   ({state} = grantCredits(state, ask('a', {sequence: 2, succeeded: 2}), 1));
@@ -115,8 +115,8 @@
   t.is(state.limit, COLD);
 });
 
-test('a new steward grants nothing until all awaited nodes have reported', t => {
-  let state = createStewardship(COLD, WARM, 100, ['a', 'b']);
+test('a new allocator grants nothing until all awaited nodes have reported', t => {
+  let state = createAllocation(COLD, WARM, 100, ['a', 'b']);
   const early = grantCredits(state, ask('a'), 50);
   t.is(early.grant.credits, 0);
   const half = grantCredits(early.state, ask('a', {sequence: 2}), 200);
@@ -127,7 +127,7 @@
 });
 
 test('an old ask that comes late takes nothing back', t => {
-  let state = createStewardship(COLD, WARM, 0, []);
+  let state = createAllocation(COLD, WARM, 0, []);
   ({state} = grantCredits(state, ask('a', {sequence: 5, want: 2}), 0));
   const late = grantCredits(state, ask('a', {sequence: 4, want: 0}), 1);
   t.is(late.state, state);
@@ -135,34 +135,34 @@
 });
 
 test('credits of a node that is gone are free again', t => {
-  let state = createStewardship(COLD, WARM, 0, []);
+  let state = createAllocation(COLD, WARM, 0, []);
   ({state} = grantCredits(state, ask('a', {want: 2}), 0));
   t.is(grantCredits(state, ask('b'), 1).grant.credits, 0);
   state = dropNodes(state, node => node === 'a');
   t.is(grantCredits(state, ask('b'), 1).grant.credits, 2);
 });
 
-test('a successor counts what the leaving steward had granted', t => {
-  let state = createStewardship(COLD, WARM, 0, []);
+test('a successor counts what the leaving allocator had granted', t => {
+  let state = createAllocation(COLD, WARM, 0, []);
   ({state} = grantCredits(state, ask('a', {want: 1, succeeded: 2}), 0));
-  const told = tellStewardship(state, 500)!;
-  const taken = takeStewardship(told, 9_000, COLD, WARM);
+  const told = tellAllocation(state, 500)!;
+  const taken = takeAllocation(told, 9_000, COLD, WARM);
   t.is(taken.limit, state.limit);
   t.is(taken.limit, 3);
   t.is(grantCredits(taken, ask('b', {want: 2}), 9_001).grant.credits, 2);
   t.true(grantCredits(taken, ask('b', {want: 3}), 9_001).grant.credits < 3);
 });
 
-test('a steward that still waits for reports hands nothing over', t => {
-  const state = createStewardship(COLD, WARM, 0, ['a', 'b']);
-  t.is(tellStewardship(state, 10), undefined);
-  const early = createStewardship(COLD, WARM, 100, []);
-  t.is(tellStewardship(early, 10), undefined);
+test('an allocator that still waits for reports hands nothing over', t => {
+  const state = createAllocation(COLD, WARM, 0, ['a', 'b']);
+  t.is(tellAllocation(state, 10), undefined);
+  const early = createAllocation(COLD, WARM, 100, []);
+  t.is(tellAllocation(early, 10), undefined);
 });
 
 test('a warm upstream waits for nodes that are up, a cold one for all', t => {
   const fresh = () =>
-    createStewardship(COLD, WARM, 100_000, ['a', 'b', 'dead'], ['dead']);
+    createAllocation(COLD, WARM, 100_000, ['a', 'b', 'dead'], ['dead']);
   const report = (node: string, knownLimit: number) =>
     ask(node, {knownLimit, want: 1});
   let warm = grantCredits(fresh(), report('a', WARM), 0);
@@ -175,7 +175,7 @@
 });
 
 test('a limit recalled for an earlier start of the upstream is not used', t => {
-  const fresh = createStewardship(COLD, WARM, 100_000, ['a', 'b']);
+  const fresh = createAllocation(COLD, WARM, 100_000, ['a', 'b']);
   const old = grantCredits(fresh, ask('a', {knownLimit: WARM}), 0);
   const restarted = ask('b', {upstreamIncarnation: 2, want: 1});
   const next = grantCredits(old.state, restarted, 1);
--- a/packages/resource/src/configuration.ts
+++ b/packages/resource/src/configuration.ts
@@ -20,7 +20,7 @@
     FailureDomain: new Map(),
     Upstream: new Map(),
     Service: new Map(),
-    Steward: new Map(),
+    Allocator: new Map(),
   },
 };
 
--- a/packages/resource/src/schema.ts
+++ b/packages/resource/src/schema.ts
@@ -101,7 +101,7 @@
 });
 
 /** The node that grants concurrency credits for a group of upstreams. */
-export const Steward = z.strictObject({
+export const Allocator = z.strictObject({
   /** Node that holds the group; written by nodes, not by operators. */
   node: name,
   /** Start of the holder's process; a restarted node is another holder. */
@@ -121,7 +121,7 @@
   FailureDomain,
   Upstream,
   Service,
-  Steward,
+  Allocator,
 } as const;
 
 /** Name of a kind of resource. */
@@ -139,8 +139,8 @@
 export type UpstreamSpec = z.infer<typeof Upstream>;
 /** Declared part of a Service. */
 export type ServiceSpec = z.infer<typeof Service>;
-/** Declared part of a Steward. */
-export type StewardSpec = z.infer<typeof Steward>;
+/** Declared part of an Allocator. */
+export type AllocatorSpec = z.infer<typeof Allocator>;
 
 /** The declared part of a resource, by kind. */
 export type Spec<K extends Kind> = z.infer<(typeof SCHEMAS)[K]>;
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -3,7 +3,7 @@
 
 /** One decision: what could be chosen, what was, and why. */
 export interface DecisionLine {
-  /** Kind of decision, such as `route` or `steward`. */
+  /** Kind of decision, such as `route` or `allocator`. */
   readonly decision: string;
   readonly requestId?: string;
   readonly candidates?: readonly string[];
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -72,7 +72,7 @@
     }),
     creditLimit: new Gauge({
       name: 'parsleyarch_upstream_limit',
-      help: 'Concurrency allowed by the steward, by upstream',
+      help: 'Concurrency allowed by the allocator, by upstream',
       labelNames: ['upstream'],
       registers,
     }),
--- a/spec/steward.pml
+++ b/spec/allocator.pml
@@ -1,12 +1,12 @@
 /*
- * Hand-over of the one credit of a cold upstream from a steward that is cut off
+ * Hand-over of the one credit of a cold upstream from an allocator that is cut off
  * or paused to another that the log names, with a bounded clock, grants with an
- * expiry, and requests that outlast their grant. Node 1 is on the new steward's
+ * expiry, and requests that outlast their grant. Node 1 is on the new allocator's
  * VM list and runs requests of any length. Node 2 is not listed yet; its
  * requests end within its grant. Defining a MUTANT_* takes one rule out.
  */
 #define TTL 1              /* lifetime of a grant, ticks */
-#define FRESH 1            /* age up to which a steward acts, ticks */
+#define FRESH 1            /* age up to which an allocator acts, ticks */
 #define LAST 7             /* ticks explored */
 
 #ifdef MUTANT_NO_FRESHNESS
@@ -26,13 +26,13 @@
 #endif
 
 byte now = 0;
-byte holder = 1;           /* steward by the log: 1, then 2 */
-byte takenAt = 0;          /* tick at which steward 2 was named */
-byte confirmedAt = 0;      /* last tick at which steward 1 knew the log */
+byte holder = 1;           /* allocator by the log: 1, then 2 */
+byte takenAt = 0;          /* tick at which allocator 2 was named */
+byte confirmedAt = 0;      /* last tick at which allocator 1 knew the log */
 byte goodUntil[3];         /* expiry of the grant of each node, plus one */
-bool held1[3];             /* steward 1 counts a credit of the node */
+bool held1[3];             /* allocator 1 counts a credit of the node */
 bool held2[3];
-bool moved[3];             /* node has reported to steward 2 */
+bool moved[3];             /* node has reported to allocator 2 */
 byte running[3];
 
 active proctype clock() {
@@ -52,8 +52,8 @@
   fi
 }
 
-/* Steward 1 learns at any time that it is still named, or never again. */
-active proctype steward1() {
+/* Allocator 1 learns at any time that it is still named, or never again. */
+active proctype allocator1() {
   byte n;
   do
   :: now >= LAST -> break
@@ -74,7 +74,7 @@
   od
 }
 
-active proctype steward2() {
+active proctype allocator2() {
   byte n;
   do
   :: now >= LAST -> break
@@ -100,7 +100,7 @@
   :: atomic { running[me] == 0 && now < goodUntil[me] && now < LAST ->
        running[me] = 1 }
   :: atomic { running[me] == 1 -> running[me] = 0 }
-  /* gives an unused credit back to whichever steward it knows */
+  /* gives an unused credit back to whichever allocator it knows */
   :: atomic { running[me] == 0 && goodUntil[me] > 0 ->
        goodUntil[me] = 0;
        if
@@ -108,7 +108,7 @@
        :: else -> held1[me] = false
        fi
      }
-  /* learns of steward 2 and reports what it runs and may still start */
+  /* learns of allocator 2 and reports what it runs and may still start */
   :: atomic { holder == 2 && !moved[me] ->
        moved[me] = true;
 #ifndef MUTANT_NO_HOLDING
--- a/spec/verify.mjs
+++ b/spec/verify.mjs
@@ -6,7 +6,7 @@
 import {fileURLToPath} from 'node:url';
 
 const HERE = dirname(fileURLToPath(import.meta.url));
-const SPECIFICATIONS = ['log', 'once', 'steward', 'bill'];
+const SPECIFICATIONS = ['log', 'once', 'allocator', 'bill'];
 const DEPTH = 100_000;
 
 function run(command, args, cwd) {
