Leave a watcher that has lost the store within the time of a change

Confirmations of a watcher were 1 to 2 s old in the ordinary way, so 1.8 s was no sign of a loss, and the call was held 0.4 s longer. A watch lasts 0.5 s now, a confirmation counts as old at 1.3 s, held calls end at that age, and a watcher that the store turns away follows the other watchers meanwhile. Ruled out: the node's own way to the store (it never used it), a lost message. Test: 'a change comes in time when the store is silent to a watcher' failed before.

--- a/apps/router/src/entry/feed.ts
+++ b/apps/router/src/entry/feed.ts
@@ -15,6 +15,8 @@
 const MAX_RECENT = 500;
 /** Longest time for which a follower is kept waiting, milliseconds. */
 const MAX_HELD_MS = 2_000;
+/** Age of a confirmation from which followers look for another source. */
+export const OLD_CONFIRMATION_MS = 1_300;
 /** Largest age that is told, milliseconds. */
 const MAX_AGE_MS = 1e9;
 
@@ -127,7 +129,10 @@
   const arrivedAt = node.clock();
   if (feed.revision === undefined)
     throw new Error('nothing was read from the store yet');
-  if (feed.revision <= revision) await waitForChange(feed, waitMs);
+  // A follower learns of an old confirmation as soon as it is one.
+  const roomMs = OLD_CONFIRMATION_MS - confirmationAge(node);
+  if (feed.revision <= revision && roomMs > 0)
+    await waitForChange(feed, Math.min(waitMs, roomMs));
   const whole = revision < feed.recentFrom;
   const items = whole
     ? [...feed.items.values()]
--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -9,17 +9,18 @@
 import {callPeer} from '@parsleyarch/peer/client';
 import type {ChangedItem, Changes} from '@parsleyarch/peer/messages';
 import {KEY} from '@parsleyarch/platform/names';
-import {listSources} from '@parsleyarch/policy/watchers';
+import {listSources, listWatchers} from '@parsleyarch/policy/watchers';
 import {
   readAll,
   watchChanges,
   type StoredItem,
 } from '@parsleyarch/store/keyspace';
-import {takeAll, takeChanges} from './feed.js';
+import {OLD_CONFIRMATION_MS, takeAll, takeChanges} from './feed.js';
+import {confirmationAge} from './freshness.js';
 import type {EntryNode} from './node.js';
 
-/** Longest wait of a watch, and so the age of a confirmation, milliseconds. */
-const WATCH_MS = 1_000;
+/** Longest wait of a watch; a confirmation gets about twice as old. */
+const WATCH_MS = 500;
 /** Pause between watches, so that changes in a row share one call. */
 const GATHER_MS = 50;
 /** Shortest and longest pause after a failed call, milliseconds. */
@@ -33,9 +34,9 @@
 const HELD_MS = 400;
 /** Time for such a call beyond its wait, milliseconds. */
 const ANSWER_MS = 500;
-/** Age of a confirmation from which another source is looked for. */
-const OLD_CONFIRMATION_MS = 1_800;
-/** Time for which a source is passed over; it doubles with each failure. */
+/** Age of a confirmation from which the store counts as lost, milliseconds. */
+const LOST_MS = 2_000;
+/** Time for which a source is passed over; it doubles with each lost call. */
 const MIN_SKIP_MS = 1_000;
 const MAX_SKIP_MS = 8_000;
 
@@ -45,6 +46,8 @@
   source?: string;
   /** Whether all items must be read, as the history is gone. */
   mustRead: boolean;
+  /** Whether the last call to the store failed. */
+  failing: boolean;
   /** Pause after the next failed call, milliseconds. */
   retryMs: number;
   /** When the store may be called again after a failure. */
@@ -57,15 +60,28 @@
 export function createFollowing(): Following {
   return {
     mustRead: true,
+    failing: false,
     retryMs: MIN_RETRY_MS,
     retryAt: 0,
     skipped: new Map(),
   };
 }
 
+function ownSources({settings, members}: EntryNode): string[] {
+  const {node: name, failureDomain} = settings;
+  return listSources(members.values(), {name, failureDomain});
+}
+
+function isWatcher(node: EntryNode): boolean {
+  return ownSources(node).length === 0;
+}
+
+/** A watcher that the store turns away follows the other watchers meanwhile. */
 function sourcesOf(node: EntryNode): string[] {
-  const {node: name, failureDomain} = node.settings;
-  return listSources(node.members.values(), {name, failureDomain});
+  if (!isWatcher(node)) return ownSources(node);
+  if (!node.following.failing) return [];
+  const names = listWatchers(node.members.values()).map(({name}) => name);
+  return names.filter(name => name !== node.settings.node);
 }
 
 function noteReach(node: EntryNode, lost: boolean, reason = ''): void {
@@ -86,14 +102,15 @@
 /** Each call counts, so the pause doubles while the store stays away. */
 function noteFailedCall(node: EntryNode, reason: string): void {
   const {following} = node;
-  noteReach(node, true, reason);
-  const isFollower = sourcesOf(node).length > 0;
-  const most = isFollower ? MAX_FOLLOWER_RETRY_MS : MAX_RETRY_MS;
+  following.failing = true;
+  if (confirmationAge(node) > LOST_MS) noteReach(node, true, reason);
+  const most = isWatcher(node) ? MAX_RETRY_MS : MAX_FOLLOWER_RETRY_MS;
   following.retryAt = node.clock() + following.retryMs;
   following.retryMs = Math.min(most, following.retryMs * 2);
 }
 
 function noteCall(node: EntryNode): void {
+  node.following.failing = false;
   node.following.retryMs = MIN_RETRY_MS;
   noteReach(node, false);
 }
@@ -155,10 +172,13 @@
   node.confirmedAt = Math.max(node.confirmedAt ?? 0, confirmedAt);
 }
 
-function passOver(node: EntryNode, source: string, reason: string): void {
+function passOver(
+  node: EntryNode,
+  source: string,
+  skipMs: number,
+  reason: string,
+): void {
   const {skipped} = node.following;
-  const last = skipped.get(source)?.skipMs ?? MIN_SKIP_MS / 2;
-  const skipMs = Math.min(MAX_SKIP_MS, last * 2);
   skipped.set(source, {until: node.clock() + skipMs, skipMs});
   node.note('source', {choice: 'pass over', source, reason});
 }
@@ -177,10 +197,15 @@
     {revision: feed.revision!, waitMs: HELD_MS},
     HELD_MS + ANSWER_MS,
   );
-  if (changes.isErr()) return passOver(node, source, changes.error.message);
+  if (changes.isErr()) {
+    const last = node.following.skipped.get(source)?.skipMs ?? 0;
+    const skipMs = Math.min(MAX_SKIP_MS, Math.max(MIN_SKIP_MS, last * 2));
+    return passOver(node, source, skipMs, changes.error.message);
+  }
   const {confirmedAgeMs} = changes.value;
-  const isOld = confirmedAgeMs > OLD_CONFIRMATION_MS;
-  if (isOld) passOver(node, source, `confirmed ${confirmedAgeMs} ms ago`);
+  const isOld = confirmedAgeMs >= OLD_CONFIRMATION_MS;
+  if (isOld)
+    passOver(node, source, MIN_SKIP_MS, `confirmed ${confirmedAgeMs} ms ago`);
   else {
     node.following.skipped.delete(source);
     noteReach(node, false);
@@ -202,7 +227,8 @@
 }
 
 async function followStep(node: EntryNode): Promise<void> {
-  const source = findSource(node);
+  const isDue = isWatcher(node) && node.clock() >= node.following.retryAt;
+  const source = isDue ? undefined : findSource(node);
   if (source) await askSource(node, source.name, source.address);
   else await askStore(node);
 }
--- a/apps/router/test/entry/following.test.ts
+++ b/apps/router/test/entry/following.test.ts
@@ -11,7 +11,8 @@
 import {createFeed} from '@parsleyarch/router/entry/feed';
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import {StoreMood} from '@parsleyarch/standins/keyspace';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
+import {createServer, type AddressInfo} from 'node:net';
 import {
   call,
   closeSite,
@@ -81,6 +82,35 @@
     t.not(follower.node.following.source, source);
   }));
 
+/** An address that takes connections and never answers. */
+async function startSilent(t: ExecutionContext): Promise<URL> {
+  const server = createServer(() => {});
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => void server.close());
+  const {port} = server.address() as AddressInfo;
+  return new URL(`http://127.0.0.1:${port}`);
+}
+
+test('a change comes in time when the store is silent to a watcher', async t =>
+  withFollowers(t, async (site, [follower]) => {
+    const source = follower.node.following.source!;
+    const watcher = site.entries.find(
+      ({node}) => node.settings.node === source,
+    )!;
+    const silent = await startSilent(t);
+    Object.assign(watcher.node.keyspace, {address: silent});
+    // The watch that runs may still bring a change.
+    await new Promise(resolve => setTimeout(resolve, 600));
+    const changedAt = performance.now();
+    configure(site, [route({path_prefix: '/d/'})], TENANTS);
+    const knows = ({node}: Entry) =>
+      node.routes?.table.routes[0].pathPrefix === '/d/';
+    await until(() => knows(follower));
+    t.true(performance.now() - changedAt < 1_300);
+    await until(() => knows(watcher));
+    t.true(acceptsKeys(watcher.node));
+  }));
+
 test('a follower refuses keys once its sources have lost the store', async t =>
   withFollowers(t, async (site, [follower]) => {
     t.is((await call(follower, {path: '/a/x', ...WITH_KEY})).status, 200);
