Count an outage from the first failed call, however short it was

The end of failing calls marks the store's return now, as it did before nodes followed watchers. Ruled out: load (it failed alone).

--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -110,8 +110,11 @@
 }
 
 function noteCall(node: EntryNode): void {
-  node.following.failing = false;
-  node.following.retryMs = MIN_RETRY_MS;
+  const {following} = node;
+  // Entries may have lapsed in an outage of any length.
+  if (following.failing) node.storeReturnedAt = node.clock();
+  following.failing = false;
+  following.retryMs = MIN_RETRY_MS;
   noteReach(node, false);
 }
 
