Note confirmations in one place, and look for sources once

Cause: the newest confirmation was kept by the same line in three places, and the sources of a node were listed and sorted twice for one question.

--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -78,8 +78,8 @@
 
 /** A watcher that the store turns away follows the other watchers meanwhile. */
 function sourcesOf(node: EntryNode): string[] {
-  if (!isWatcher(node)) return ownSources(node);
-  if (!node.following.failing) return [];
+  const sources = ownSources(node);
+  if (sources.length > 0 || !node.following.failing) return sources;
   const names = listWatchers(node.members.values()).map(({name}) => name);
   return names.filter(name => name !== node.settings.node);
 }
@@ -118,6 +118,10 @@
   noteReach(node, false);
 }
 
+function noteConfirmed(node: EntryNode, at: number): void {
+  node.confirmedAt = Math.max(node.confirmedAt ?? 0, at);
+}
+
 async function readStore(node: EntryNode): Promise<void> {
   const {following} = node;
   const sentAt = node.continuousClock();
@@ -126,7 +130,7 @@
   noteCall(node);
   following.mustRead = false;
   takeAll(node.feed, all.value.items, all.value.revision);
-  node.confirmedAt = Math.max(node.confirmedAt ?? 0, sentAt);
+  noteConfirmed(node, sentAt);
 }
 
 async function watchStore(node: EntryNode, revision: number): Promise<void> {
@@ -145,7 +149,7 @@
     return;
   }
   takeChanges(node.feed, changes.value.items, changes.value.revision);
-  node.confirmedAt = Math.max(node.confirmedAt ?? 0, sentAt);
+  noteConfirmed(node, sentAt);
 }
 
 async function askStore(node: EntryNode): Promise<void> {
@@ -172,7 +176,7 @@
   // The answer left the source no earlier than this, by this node's clock.
   const answeredAt = sentAt + changes.heldMs;
   const confirmedAt = answeredAt - changes.confirmedAgeMs;
-  node.confirmedAt = Math.max(node.confirmedAt ?? 0, confirmedAt);
+  noteConfirmed(node, confirmedAt);
 }
 
 function passOver(
