Expect shared prompt parts at the same engines on all nodes

Cause: requests that share a long prompt part arrive at different nodes. The work of the smallest model was also taken in proportion to its price, a third of the time that it measurably takes.

Change: all nodes rank the engines of a service alike for a shared part and expect it at the first two. Both change only the expected work, so a busy engine is not chosen.

--- a/apps/router/src/entry/models.ts
+++ b/apps/router/src/entry/models.ts
@@ -7,7 +7,7 @@
 import {prefillWork} from '@parsleyarch/policy/work';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
-import {findLeastWork, relativeCostOf} from './selection.js';
+import {findLeastWork, relativeTimeOf} from './selection.js';
 
 /** Cost of the largest model, relative to the value of a good answer. */
 const LARGEST_MODEL_COST_RATIO = 0.16;
@@ -102,8 +102,11 @@
   const largestCost = costs?.get(largest) ?? 1;
   const presentWork = findLeastWork(node, exchange);
   const pooledService = node.routes?.table.services.get(service);
-  const relativeCost = relativeCostOf(pooledService, exchange, name);
-  const requestWork = prefillWork(exchange.caller.promptTokens, relativeCost);
+  const relativeTokenTime = relativeTimeOf(pooledService, exchange, name);
+  const requestWork = prefillWork(
+    exchange.caller.promptTokens,
+    relativeTokenTime,
+  );
   const msPerUnit =
     node.models.msPerWorkUnit.get(`${service}/${name}`) ??
     INITIAL_MS_PER_WORK_UNIT;
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -6,8 +6,9 @@
   type CostPenalties,
   type UpstreamCandidate,
 } from '@parsleyarch/policy/upstream-choice';
-import {rankMember} from '@parsleyarch/policy/rendezvous';
-import {prefillWork} from '@parsleyarch/policy/work';
+import {expectCached} from '@parsleyarch/policy/prompt-affinity';
+import {hashName, rankMember} from '@parsleyarch/policy/rendezvous';
+import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
 import type {PooledService} from '@parsleyarch/resource/routing';
 import type {Exchange} from './exchange.js';
 import {workAt} from './load.js';
@@ -84,20 +85,28 @@
   return keys;
 }
 
-function countUncachedTokens(
+/** Tokens of a prompt that an upstream caches, by the sends of this node. */
+function countCachedTokens(
   node: EntryNode,
   state: UpstreamState,
   exchange: Exchange,
   keys: readonly string[],
 ): number {
-  const {promptSegments: segments, promptTokens} = exchange.caller;
+  const {promptSegments: segments} = exchange.caller;
   const oldest = node.clock() - PROMPT_CACHE_TTL_MS;
   let cached = 0;
   for (const [index, key] of keys.entries()) {
     if ((state.promptSegmentSentAt.get(key) ?? -Infinity) < oldest) break;
     cached += segments[index].tokens;
   }
-  return Math.max(0, promptTokens - cached);
+  return cached;
+}
+
+/** The part of a prompt that other requests share: all segments but the last. */
+function countSharedTokens({caller}: Exchange): number {
+  let shared = 0;
+  for (const {tokens} of caller.promptSegments.slice(0, -1)) shared += tokens;
+  return shared;
 }
 
 /** Returns why a request cannot use an upstream, or `undefined` if it can. */
@@ -124,15 +133,17 @@
   readonly presentWork: number;
 }
 
-/** Cost of a model relative to the route's largest one. */
-export function relativeCostOf(
+/** Time that a model takes for a prompt token, relative to the route's largest one. */
+export function relativeTimeOf(
   service: PooledService | undefined,
   {route}: Exchange,
   model: string,
 ): number {
   const largest = service?.modelCosts.get(route.models.at(-1) ?? model);
   const cost = service?.modelCosts.get(model);
-  return largest === undefined || cost === undefined ? 1 : cost / largest;
+  return largest === undefined || cost === undefined
+    ? 1
+    : relativeTime(cost / largest);
 }
 
 /** Whether a usable upstream is left to which the request was not sent. */
@@ -166,18 +177,32 @@
   const service = node.routes?.table.services.get(exchange.service);
   const keys = promptSegmentKeys(model, exchange.caller.promptSegments);
   const now = node.clock();
-  const relativeCost = relativeCostOf(service, exchange, model);
+  const relativeTokenTime = relativeTimeOf(service, exchange, model);
+  const usable = [...node.upstreams.values()].filter(
+    state => !findExclusion(node, exchange, state),
+  );
+  const sharedTokens = countSharedTokens(exchange);
+  const cachedChances =
+    sharedTokens > 0
+      ? expectCached(hashName(keys.at(-2) ?? ''), usable)
+      : undefined;
   const candidates: UpstreamCandidate[] = [];
-  for (const state of node.upstreams.values()) {
-    if (findExclusion(node, exchange, state)) continue;
+  for (const state of usable) {
     dropExpired(state.failures, now - FAILURE_WINDOW_MS);
-    const uncachedTokens = countUncachedTokens(node, state, exchange, keys);
+    const cachedTokens = Math.max(
+      countCachedTokens(node, state, exchange, keys),
+      sharedTokens * (cachedChances?.get(state) ?? 0),
+    );
+    const uncachedTokens = Math.max(
+      0,
+      exchange.caller.promptTokens - cachedTokens,
+    );
     candidates.push({
       id: state.registered.id,
       sameDomain:
         state.registered.failureDomain === node.settings.failureDomain,
       presentWork: workAt(node, state),
-      addedWork: prefillWork(uncachedTokens, relativeCost),
+      addedWork: prefillWork(uncachedTokens, relativeTokenTime),
       failures: state.failures.length,
       down: now < state.backoffUntil,
       coldFull: isColdLimitReached(node, service, state),
--- a/packages/policy/src/rendezvous.ts
+++ b/packages/policy/src/rendezvous.ts
@@ -37,3 +37,21 @@
   }
   return rank;
 }
+
+/** Returns the members that rank first for a key, the first one first. */
+export function listFirstMembers<M extends RendezvousMember>(
+  key: number,
+  members: Iterable<M>,
+  count: number,
+): M[] {
+  const first: {readonly member: M; readonly score: number}[] = [];
+  for (const member of members) {
+    const score = scoreMember(key, member);
+    let position = first.length;
+    while (position > 0 && first[position - 1].score < score) position -= 1;
+    if (position >= count) continue;
+    first.splice(position, 0, {member, score});
+    if (first.length > count) first.pop();
+  }
+  return first.map(({member}) => member);
+}
