Group load by failure domain and relay confirmations with it

Cause: every node reported its load ten times a second to one collector, which took 0.82 of a core at 195 nodes, and followed a watcher with 2.5 calls a second; each watcher called the store twice a second.

Change: above 20 nodes each failure domain has a collector, and these exchange the sums of their groups. Reports, calls to a source and reports on roll-outs get rarer as the deployment grows. The answer to a report carries the collector's revision and the age of its confirmation, so that a call to a source may wait 2 s; a source that does not answer a report is left at once. Time-outs of the watch and of stale confirmations follow the time in which a configuration must be in force.

--- a/apps/router/src/entry/feed.ts
+++ b/apps/router/src/entry/feed.ts
@@ -6,6 +6,7 @@
   ChangedItem,
   Changes,
   ChangesAfter,
+  Confirmation,
 } from '@parsleyarch/peer/messages';
 import type {StoredItem} from '@parsleyarch/store/keyspace';
 import {confirmationAge} from './freshness.js';
@@ -15,8 +16,12 @@
 const MAX_RECENT_CHANGE_COUNT = 500;
 /** Maximum time for which a follower's call is held open. */
 const MAX_FOLLOWER_WAIT_MS = 2_000;
-/** Age of a confirmation from which followers switch to another source. */
-export const STALE_CONFIRMATION_MS = 1_300;
+/**
+ * Age of a confirmation from which followers switch to another source, relative
+ * to the time in which a configuration must be in force. The rest is left for
+ * the switch.
+ */
+const STALE_AGE_RATIO = 0.65;
 /** Upper bound of a reported age, which is infinite without a confirmation. */
 const MAX_REPORTED_AGE_MS = 1e9;
 
@@ -117,6 +122,19 @@
   });
 }
 
+/** Age of a confirmation from which followers switch to another source. */
+export function staleConfirmationMs({settings}: EntryNode): number {
+  return settings.configuration.applyMs * STALE_AGE_RATIO;
+}
+
+/** How current this node's knowledge of the store is. */
+export function reportConfirmation(node: EntryNode): Confirmation {
+  return {
+    revision: node.feed.revision ?? 0,
+    confirmedAgeMs: Math.min(MAX_REPORTED_AGE_MS, confirmationAge(node)),
+  };
+}
+
 function toMessage({key, revision, value}: StoredItem): ChangedItem {
   const removed = value === undefined;
   return {key, revision, value: value ?? Buffer.alloc(0), removed};
@@ -133,7 +151,7 @@
     throw new Error('nothing was read from the store yet');
   // Responds as soon as the confirmation is stale, so that the follower can
   // switch to another source in time.
-  const untilStaleMs = STALE_CONFIRMATION_MS - confirmationAge(node);
+  const untilStaleMs = staleConfirmationMs(node) - confirmationAge(node);
   if (feed.revision <= revision && untilStaleMs > 0)
     await waitForChange(feed, Math.min(waitMs, untilStaleMs));
   const whole = revision < feed.recentSince;
@@ -142,10 +160,9 @@
     : feed.recentChanges.filter(item => item.revision > revision);
   const now = node.clock();
   return {
-    revision: feed.revision,
+    ...reportConfirmation(node),
     whole,
     items: items.map(toMessage),
-    confirmedAgeMs: Math.min(MAX_REPORTED_AGE_MS, confirmationAge(node)),
     heldMs: now - arrivedAt,
     returnedAgoMs:
       node.storeReturnedAt === undefined ? -1 : now - node.storeReturnedAt,
--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -6,8 +6,13 @@
  */
 import {registerResource} from '@parsleyarch/lifecycle/manager';
 import {repeat, wait} from '@parsleyarch/lifecycle/process';
+import {failure, type Failure} from '@parsleyarch/errors/failure';
 import {callPeer} from '@parsleyarch/peer/client';
-import type {ChangedItem, Changes} from '@parsleyarch/peer/messages';
+import type {
+  ChangedItem,
+  Changes,
+  Confirmation,
+} from '@parsleyarch/peer/messages';
 import {STORE_KEY} from '@parsleyarch/platform/names';
 import {listSources, listWatchers} from '@parsleyarch/policy/watchers';
 import {
@@ -15,12 +20,16 @@
   watchChanges,
   type StoredItem,
 } from '@parsleyarch/store/keyspace';
-import {applyChanges, replaceItems, STALE_CONFIRMATION_MS} from './feed.js';
+import {err, type Result} from 'neverthrow';
+import {applyChanges, replaceItems, staleConfirmationMs} from './feed.js';
 import {confirmationAge} from './freshness.js';
 import type {EntryNode} from './node.js';
 
-/** Maximum wait of a watch; confirmations reach about twice this age. */
-const WATCH_TIMEOUT_MS = 500;
+/**
+ * Maximum wait of a watch, relative to the time in which a configuration must be
+ * in force; confirmations reach about twice this age.
+ */
+const WATCH_TIMEOUT_RATIO = 0.25;
 /** Pause between calls, so that successive changes share one call. */
 const BATCH_PAUSE_MS = 50;
 /** Shortest and longest pause after a failed call, milliseconds. */
@@ -30,12 +39,15 @@
 const MAX_FOLLOWER_RETRY_MS = 4_000;
 /** Pause while there is no source and the store may not be called yet. */
 const POLL_MS = 100;
-/** Maximum wait of a call to a source, milliseconds. */
-const SOURCE_WAIT_MS = 400;
+/**
+ * Shortest and longest wait of a call to a source, milliseconds. Calls wait longer
+ * in large deployments; exchanges of load bring the confirmations between them.
+ */
+const MIN_SOURCE_WAIT_MS = 400;
+const MAX_SOURCE_WAIT_MS = 2_000;
+const SOURCE_WAIT_PER_NODE_MS = 30;
 /** Time-out of such a call beyond its wait, milliseconds. */
 const SOURCE_MARGIN_MS = 500;
-/** Age of a confirmation above which the store is considered lost. */
-const STORE_LOST_MS = 2_000;
 /** Time for which a source is skipped; doubles with each failed call. */
 const MIN_SKIP_MS = 1_000;
 const MAX_SKIP_MS = 8_000;
@@ -52,6 +64,8 @@
   retryMs: number;
   /** When the store may be called again after a failure. */
   retryAt: number;
+  /** Ends the call to the source that is in progress, with a reason. */
+  abandon?: (reason: string) => void;
   /** Skipped sources, with the end and the length of the skip. */
   readonly skipped: Map<string, {until: number; skipMs: number}>;
 }
@@ -102,7 +116,7 @@
 function recordFailedCall(node: EntryNode, reason: string): void {
   const {following} = node;
   following.storeFailing = true;
-  if (confirmationAge(node) > STORE_LOST_MS)
+  if (confirmationAge(node) > node.settings.configuration.applyMs)
     updateStoreLost(node, true, reason);
   const maxRetryMs = isWatcher(node) ? MAX_RETRY_MS : MAX_FOLLOWER_RETRY_MS;
   following.retryAt = node.clock() + following.retryMs;
@@ -139,7 +153,7 @@
     node.keyspace,
     STORE_KEY.all,
     revision,
-    WATCH_TIMEOUT_MS,
+    node.settings.configuration.applyMs * WATCH_TIMEOUT_RATIO,
   );
   if (changes.isErr()) return recordFailedCall(node, changes.error.message);
   recordSuccessfulCall(node);
@@ -195,27 +209,69 @@
   node.logDecision('source', {choice: 'pass over', source, reason});
 }
 
-async function pollSource(
+/**
+ * Applies a confirmation that another node relays. It holds for this node only if
+ * this node knows all changes that the other one knew.
+ */
+export function applyConfirmation(
+  node: EntryNode,
+  {revision, confirmedAgeMs}: Confirmation,
+  sentAt: number,
+): void {
+  if (revision === 0 || (node.feed.revision ?? 0) < revision) return;
+  recordConfirmation(node, sentAt - confirmedAgeMs);
+}
+
+/** Stops following a node that did not answer another call. */
+export function leaveSource(
+  node: EntryNode,
+  name: string,
+  reason: string,
+): void {
+  if (node.following.source === name) node.following.abandon?.(reason);
+}
+
+function sourceWaitMs({members}: EntryNode): number {
+  const waitMs = members.size * SOURCE_WAIT_PER_NODE_MS;
+  return Math.min(MAX_SOURCE_WAIT_MS, Math.max(MIN_SOURCE_WAIT_MS, waitMs));
+}
+
+/** Calls a source; ends early if the node stops following it. */
+async function callSource(
   node: EntryNode,
-  source: string,
   address: string,
-): Promise<void> {
-  const {feed, peers} = node;
-  const sentAt = node.continuousClock();
-  const changes = await callPeer(
+): Promise<Result<Changes, Failure>> {
+  const {feed, following, peers} = node;
+  const waitMs = sourceWaitMs(node);
+  const abandoned = new Promise<Result<Changes, Failure>>(resolve => {
+    following.abandon = reason => resolve(err(failure('internal', reason)));
+  });
+  const called = callPeer(
     peers.client!,
     address,
     'followChanges',
-    {revision: feed.revision!, waitMs: SOURCE_WAIT_MS},
-    SOURCE_WAIT_MS + SOURCE_MARGIN_MS,
+    {revision: feed.revision!, waitMs},
+    waitMs + SOURCE_MARGIN_MS,
   );
+  const changes = await Promise.race([called, abandoned]);
+  following.abandon = undefined;
+  return changes;
+}
+
+async function pollSource(
+  node: EntryNode,
+  source: string,
+  address: string,
+): Promise<void> {
+  const sentAt = node.continuousClock();
+  const changes = await callSource(node, address);
   if (changes.isErr()) {
     const lastSkipMs = node.following.skipped.get(source)?.skipMs ?? 0;
     const skipMs = Math.min(MAX_SKIP_MS, Math.max(MIN_SKIP_MS, lastSkipMs * 2));
     return skipSource(node, source, skipMs, changes.error.message);
   }
   const {confirmedAgeMs} = changes.value;
-  const isStale = confirmedAgeMs >= STALE_CONFIRMATION_MS;
+  const isStale = confirmedAgeMs >= staleConfirmationMs(node);
   if (isStale)
     skipSource(node, source, MIN_SKIP_MS, `confirmed ${confirmedAgeMs} ms ago`);
   else {
@@ -226,8 +282,16 @@
   applyRelayedChanges(node, changes.value, sentAt);
 }
 
+/** Forgets skips that ended some time ago, and with them the length of the next. */
+function forgetOldSkips({following, clock}: EntryNode): void {
+  for (const [name, {until, skipMs}] of following.skipped) {
+    if (clock() > until + skipMs) following.skipped.delete(name);
+  }
+}
+
 function findSource(node: EntryNode) {
   const {feed, following, peers} = node;
+  forgetOldSkips(node);
   if (feed.revision === undefined || following.mustReadAll || !peers.client)
     return undefined;
   for (const name of candidateSources(node)) {
--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -14,6 +14,7 @@
 import {callPeer} from '@parsleyarch/peer/client';
 import {STORE_KEY} from '@parsleyarch/platform/names';
 import {encodeRolloutStatus} from '@parsleyarch/platform/status';
+import {consultIntervalMs} from '@parsleyarch/policy/load-sharing';
 import type {VersionTally} from '@parsleyarch/policy/rollout';
 import {
   createRolloutPlan,
@@ -43,7 +44,6 @@
 const RENEW_INTERVAL_MS = 900;
 /** Fraction of the lease TTL for which the holder acts without a renewal. */
 const USABLE_LEASE_RATIO = 0.7;
-const CONSULT_INTERVAL_MS = 400;
 const CONSULT_TIMEOUT_MS = 800;
 const HOLDER_KEY = `${STORE_KEY.router}holder`;
 export const PLAN_KEY_PREFIX = `${STORE_KEY.router}rollout/`;
@@ -311,7 +311,7 @@
  */
 export function runRollouts(node: EntryNode): void {
   const running = repeat(
-    CONSULT_INTERVAL_MS,
+    () => consultIntervalMs(node.members.size),
     () => stepRollouts(node),
     error => node.log.error({error: String(error)}, 'roll-out step failed'),
   );
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -1,8 +1,9 @@
 /**
  * Load that all nodes together place on the upstreams. Every node reports its
- * own load to one of them, the collector, and receives the sums over the other
- * nodes. This is soft state: without a collector a node uses its own load and
- * the load that upstreams report with their answers.
+ * own load to a collector and receives the sums over the other nodes, together
+ * with the age of the collector's last confirmation by the store. This is soft
+ * state: without a collector a node uses its own load and the load that
+ * upstreams report with their answers.
  */
 import {registerResource} from '@parsleyarch/lifecycle/manager';
 import {repeat} from '@parsleyarch/lifecycle/process';
@@ -12,13 +13,19 @@
   LoadSummary,
   UpstreamLoad,
 } from '@parsleyarch/peer/messages';
+import {
+  hasGroups,
+  listCollectors,
+  shareIntervalMs,
+} from '@parsleyarch/policy/load-sharing';
 import {totalWork} from '@parsleyarch/policy/work';
+import {reportConfirmation} from './feed.js';
+import {applyConfirmation, leaveSource} from './follow.js';
 import type {EntryNode, UpstreamState} from './node.js';
 
-const SHARE_INTERVAL_MS = 100;
 const SHARE_TIMEOUT_MS = 300;
 /** Age above which reported load is ignored, milliseconds. */
-const MAX_LOAD_AGE_MS = 1_000;
+const MAX_LOAD_AGE_MS = 1_200;
 /** Time for which a collector that did not answer is skipped. */
 const COLLECTOR_SKIP_MS = 2_000;
 /** Work assumed for each request that an upstream reports, in work units. */
@@ -35,8 +42,10 @@
   others: ReadonlyMap<string, UpstreamLoad>;
   /** When the sums were received, monotonic milliseconds. */
   receivedAt: number;
-  /** Reports that this node collects, by node. */
+  /** Reports of the nodes of this collector's group, by node. */
   readonly reports: Map<string, TimedReport>;
+  /** Sums of the groups of other collectors, by collector. */
+  readonly groups: Map<string, TimedReport>;
   /** Until when nodes are skipped as collectors, by node. */
   readonly skipped: Map<string, number>;
 }
@@ -46,6 +55,7 @@
     others: new Map(),
     receivedAt: -Infinity,
     reports: new Map(),
+    groups: new Map(),
     skipped: new Map(),
   };
 }
@@ -75,20 +85,44 @@
   return loads;
 }
 
-/** As the collector, keeps a node's report and sums up those of the others. */
+/** Answers a report: keeps it, and returns the load that its sender lacks. */
 export function collectLoad(
   node: EntryNode,
-  {node: name, loads}: LoadReport,
+  {node: name, loads, isGroup}: LoadReport,
 ): LoadSummary {
-  const now = node.clock();
-  const {reports} = node.load;
-  reports.set(name, {at: now, loads});
+  const {reports, groups} = node.load;
+  const report = {at: node.clock(), loads};
+  if (!isGroup) reports.set(name, report);
+  else groups.set(name, report);
+  // Another collector lacks only this group; a node lacks all but its own load.
+  const sums = isGroup ? sumGroup(node) : sumOthers(node, name);
+  return {loads: sums, ...reportConfirmation(node)};
+}
+
+function dropOldReports(node: EntryNode): void {
+  const oldest = node.clock() - MAX_LOAD_AGE_MS;
+  for (const kept of [node.load.reports, node.load.groups]) {
+    for (const [name, {at}] of kept) {
+      if (at < oldest) kept.delete(name);
+    }
+  }
+}
+
+/** Load of the nodes that report to this one, except for one of them. */
+function sumGroup(node: EntryNode, except?: string): UpstreamLoad[] {
+  dropOldReports(node);
   const sums = new Map<string, UpstreamLoad>();
-  for (const [other, report] of reports) {
-    if (now - report.at > MAX_LOAD_AGE_MS) reports.delete(other);
-    else if (other !== name) addLoads(sums, report.loads);
+  for (const [name, report] of node.load.reports) {
+    if (name !== except) addLoads(sums, report.loads);
   }
-  return {loads: [...sums.values()]};
+  return [...sums.values()];
+}
+
+function sumOthers(node: EntryNode, except: string): UpstreamLoad[] {
+  const group = sumGroup(node, except);
+  const sums = new Map(group.map(load => [load.upstream, load]));
+  for (const {loads} of node.load.groups.values()) addLoads(sums, loads);
+  return [...sums.values()];
 }
 
 function addLoads(
@@ -105,30 +139,25 @@
   }
 }
 
-/** The first registered node, by name, that is not skipped. */
-function findCollector(node: EntryNode): string | undefined {
-  const now = node.clock();
-  let first: string | undefined;
-  for (const name of node.members.keys()) {
-    if ((node.load.skipped.get(name) ?? 0) > now) continue;
-    if (first === undefined || name < first) first = name;
-  }
-  return first;
+function isSkipped(node: EntryNode, name: string): boolean {
+  return (node.load.skipped.get(name) ?? 0) > node.clock();
 }
 
-function applySummary(node: EntryNode, {loads}: LoadSummary): void {
+function applySums(node: EntryNode, loads: readonly UpstreamLoad[]): void {
   node.load.others = new Map(loads.map(load => [load.upstream, load]));
   node.load.receivedAt = node.clock();
 }
 
-async function shareOnce(node: EntryNode): Promise<void> {
-  const collector = findCollector(node);
-  const report = {node: node.settings.node, loads: listLocalLoads(node)};
-  if (collector === node.settings.node)
-    return applySummary(node, collectLoad(node, report));
-  const address = node.members.get(collector ?? '')?.address;
+/** Sends a report to a collector; `undefined` if it does not answer. */
+async function sendReport(
+  node: EntryNode,
+  collector: string,
+  report: LoadReport,
+): Promise<LoadSummary | undefined> {
+  const address = node.members.get(collector)?.address;
   const {client} = node.peers;
-  if (collector === undefined || !address || !client) return;
+  if (!address || !client) return undefined;
+  const sentAt = node.continuousClock();
   const summary = await callPeer(
     client,
     address,
@@ -136,19 +165,72 @@
     report,
     SHARE_TIMEOUT_MS,
   );
-  if (summary.isOk()) return applySummary(node, summary.value);
+  if (summary.isOk()) {
+    applyConfirmation(node, summary.value, sentAt);
+    return summary.value;
+  }
   node.load.skipped.set(collector, node.clock() + COLLECTOR_SKIP_MS);
+  leaveSource(node, collector, summary.error.message);
   node.logDecision('collector', {
     choice: 'pass over',
     collector,
     reason: summary.error.message,
   });
+  return undefined;
+}
+
+async function exchangeGroups(
+  node: EntryNode,
+  collector: string,
+): Promise<void> {
+  const report = {
+    node: node.settings.node,
+    loads: sumGroup(node),
+    isGroup: true,
+  };
+  const summary = await sendReport(node, collector, report);
+  if (!summary) return;
+  const {loads} = summary;
+  node.load.groups.set(collector, {at: node.clock(), loads});
+}
+
+/** As a collector, adds this node's load and exchanges sums with the others. */
+async function collectOnce(
+  node: EntryNode,
+  collectors: readonly string[],
+): Promise<void> {
+  const name = node.settings.node;
+  const loads = listLocalLoads(node);
+  node.load.reports.set(name, {at: node.clock(), loads});
+  // One call serves both directions, so the first of two by name makes it.
+  const called = collectors.filter(
+    other => other > name && !isSkipped(node, other),
+  );
+  if (hasGroups(node.members.size))
+    await Promise.all(called.map(other => exchangeGroups(node, other)));
+  applySums(node, sumOthers(node, name));
+}
+
+async function shareOnce(node: EntryNode): Promise<void> {
+  const {node: name, failureDomain} = node.settings;
+  const self = {name, failureDomain};
+  const collectors = listCollectors([...node.members.values()], self);
+  const isCollector = hasGroups(node.members.size)
+    ? collectors.includes(name)
+    : collectors.find(other => !isSkipped(node, other)) === name;
+  if (isCollector) return collectOnce(node, collectors);
+  const collector = collectors.find(other => !isSkipped(node, other));
+  if (collector === undefined) return;
+  const loads = listLocalLoads(node);
+  const report = {node: name, loads, isGroup: false};
+  const summary = await sendReport(node, collector, report);
+  if (summary) applySums(node, summary.loads);
 }
 
 /** Shares load until the node stops. */
 export function shareLoads(node: EntryNode): void {
   const running = repeat(
-    SHARE_INTERVAL_MS,
+    () => shareIntervalMs(node.members.size),
     () => shareOnce(node),
     error => node.log.error({error: String(error)}, 'sharing load failed'),
   );
--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -24,6 +24,10 @@
     address: z.url(),
     timeoutMs: milliseconds.default(1_000),
   }),
+  configuration: z.strictObject({
+    /** Maximum time until a change is in force on all nodes. */
+    applyMs: milliseconds.positive(),
+  }),
   keys: z.strictObject({
     /** Whether keys are refused while the configuration may be stale. */
     failClosed: z.boolean(),
--- /dev/null
+++ b/apps/router/test/entry/load.test.ts
@@ -0,0 +1,98 @@
+/** Tests of shared load and of the confirmations that travel with it. */
+import {createEntryNode, type EntryNode} from '@parsleyarch/router/entry/node';
+import {confirmationAge} from '@parsleyarch/router/entry/freshness';
+import {applyConfirmation, leaveSource} from '@parsleyarch/router/entry/follow';
+import {collectLoad} from '@parsleyarch/router/entry/load';
+import {startKeyspace} from '@parsleyarch/standins/keyspace';
+import test, {type ExecutionContext} from 'ava';
+import {
+  closeSite,
+  configure,
+  route,
+  settingsFor,
+  startNode,
+  startSite,
+  until,
+} from './site.js';
+
+async function createNodes(
+  t: ExecutionContext,
+  count: number,
+): Promise<EntryNode[]> {
+  const store = await startKeyspace();
+  t.teardown(() => store.close());
+  const nodes: EntryNode[] = [];
+  for (let index = 0; index < count; index += 1)
+    nodes.push(createEntryNode(await settingsFor(store, `node-${index}`)));
+  return nodes;
+}
+
+const loadOf = (pending: number) => [{upstream: 'i-1', pending, streaming: 1}];
+
+test('a node gets the sum over all other nodes, also over those of other groups', async t => {
+  const [first, second] = await createNodes(t, 2);
+  collectLoad(first, {node: 'a', loads: loadOf(1), isGroup: false});
+  collectLoad(first, {node: 'b', loads: loadOf(2), isGroup: false});
+  collectLoad(second, {node: 'c', loads: loadOf(4), isGroup: false});
+  collectLoad(second, {node: 'd', loads: loadOf(8), isGroup: false});
+  const [ofSecond] = collectLoad(second, {
+    node: 'node-0',
+    loads: loadOf(3),
+    isGroup: true,
+  }).loads;
+  t.like(ofSecond, {pending: 12, streaming: 2});
+  collectLoad(first, {node: 'node-1', loads: [ofSecond], isGroup: true});
+  const [forA] = collectLoad(first, {
+    node: 'a',
+    loads: loadOf(1),
+    isGroup: false,
+  }).loads;
+  t.like(forA, {pending: 14, streaming: 3});
+  const [forC] = collectLoad(second, {
+    node: 'c',
+    loads: loadOf(4),
+    isGroup: false,
+  }).loads;
+  t.like(forC, {pending: 11, streaming: 2});
+});
+
+test('a relayed confirmation holds only for nodes that know all its changes', async t => {
+  const [node] = await createNodes(t, 1);
+  node.feed.revision = 7;
+  applyConfirmation(
+    node,
+    {revision: 8, confirmedAgeMs: 100},
+    node.continuousClock(),
+  );
+  t.is(confirmationAge(node), Infinity);
+  applyConfirmation(
+    node,
+    {revision: 7, confirmedAgeMs: 100},
+    node.continuousClock(),
+  );
+  const age = confirmationAge(node);
+  t.true(age >= 100 && age < 1_000);
+  applyConfirmation(
+    node,
+    {revision: 7, confirmedAgeMs: 900},
+    node.continuousClock(),
+  );
+  t.true(confirmationAge(node) < 900);
+});
+
+test('a node follows another watcher at once when its source does not answer', async t => {
+  const site = await startSite(1);
+  t.teardown(() => closeSite(site));
+  configure(site, [route()]);
+  for (let index = 0; index < 3; index += 1) await startNode(site);
+  const {node} = site.entries[2];
+  await until(
+    () =>
+      node.following.source !== undefined &&
+      node.following.abandon !== undefined,
+  );
+  const source = node.following.source!;
+  leaveSource(node, source, 'no answer');
+  await until(() => node.following.source !== source);
+  t.true((node.following.skipped.get(source)?.until ?? 0) > node.clock());
+});
--- a/packages/lifecycle/src/process.ts
+++ b/packages/lifecycle/src/process.ts
@@ -36,13 +36,13 @@
 
 /**
  * Runs an asynchronous step periodically, with a pause after each run, until the
- * task is ended. A step that throws is reported and does not end the task.
+ * task is ended. A pause that is a function is computed before each pause. A step that throws is reported and does not end the task.
  *
  * @example
  * const heartbeats = repeat(1_000, () => sendHeartbeats(node), logError);
  */
 export function repeat(
-  pauseMs: number,
+  pauseMs: number | (() => number),
   step: () => Promise<void>,
   onError: (error: unknown) => void,
 ): RepeatingTask {
@@ -54,7 +54,8 @@
         const outcome: PromiseOutcome<void> = yield csp.take(toChannel(step()));
         if (outcome.error !== undefined) onError(outcome.error);
         if (ended) break;
-        yield csp.take(pause(pauseMs, cancel => (cancelPause = cancel)));
+        const ms = typeof pauseMs === 'number' ? pauseMs : pauseMs();
+        yield csp.take(pause(ms, cancel => (cancelPause = cancel)));
       }
       resolve();
     });
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -154,13 +154,25 @@
   /** Requests whose responses are being streamed to the caller. */
   readonly streaming: number;
 }
-/** The load that one node has placed on each upstream. */
+/** The load that one node, or the nodes of its group, placed on each upstream. */
 export interface LoadReport {
   readonly node: string;
   readonly loads: readonly UpstreamLoad[];
+  /** Whether the load is the sum over the nodes that report to the sender. */
+  readonly isGroup: boolean;
 }
-/** Load per upstream, summed over the other nodes. */
-export interface LoadSummary {
+/** How current a node's knowledge of the store is. */
+export interface Confirmation {
+  /** Revision up to which all changes are known. */
+  readonly revision: number;
+  /**
+   * Age of the last confirmation that no newer change was missing,
+   * milliseconds.
+   */
+  readonly confirmedAgeMs: number;
+}
+/** Load per upstream, summed over the nodes whose load the reporter lacks. */
+export interface LoadSummary extends Confirmation {
   readonly loads: readonly UpstreamLoad[];
 }
 /** Requests the store's changes after a revision. */
@@ -177,17 +189,10 @@
   readonly removed: boolean;
 }
 /** Changes of the store, as relayed by a node that watches it. */
-export interface Changes {
-  /** Revision up to which the changes reach. */
-  readonly revision: number;
+export interface Changes extends Confirmation {
   /** Whether `items` is the full state rather than a list of changes. */
   readonly whole: boolean;
   readonly items: readonly ChangedItem[];
-  /**
-   * Age of the last confirmation that no newer change was missing,
-   * milliseconds.
-   */
-  readonly confirmedAgeMs: number;
   /** Time for which the call was held open, milliseconds. */
   readonly heldMs: number;
   /**
--- a/packages/policy/src/watchers.ts
+++ b/packages/policy/src/watchers.ts
@@ -43,9 +43,16 @@
 ): string[] {
   const watchers = listWatchers(nodes);
   if (watchers.some(({name}) => name === self.name)) return [];
+  return orderByDomain(watchers, self).map(({name}) => name);
+}
+
+/** Puts the nodes in the failure domain of `self` before the others. */
+export function orderByDomain(
+  nodes: readonly ListedNode[],
+  self: ListedNode,
+): ListedNode[] {
   const isSameDomain = ({failureDomain}: ListedNode) =>
     failureDomain === self.failureDomain;
-  const sameDomain = watchers.filter(isSameDomain);
-  const otherDomains = watchers.filter(node => !isSameDomain(node));
-  return [...sameDomain, ...otherDomains].map(({name}) => name);
+  const otherDomains = nodes.filter(node => !isSameDomain(node));
+  return [...nodes.filter(isSameDomain), ...otherDomains];
 }
--- /dev/null
+++ b/packages/policy/test/load-sharing.test.ts
@@ -0,0 +1,69 @@
+import {
+  consultIntervalMs,
+  hasGroups,
+  listCollectors,
+  shareIntervalMs,
+} from '@parsleyarch/policy/load-sharing';
+import test from 'ava';
+
+function listNodes(count: number, domains: number) {
+  return Array.from({length: count}, (_, index) => ({
+    name: `node-${String(index).padStart(3, '0')}`,
+    failureDomain: `domain-${index % domains}`,
+  }));
+}
+
+/** Calls a second that the busiest collector receives. */
+function busiestCollectorCalls(count: number, domains: number): number {
+  const nodes = listNodes(count, domains);
+  const calls = new Map<string, number>();
+  const perSecond = 1_000 / shareIntervalMs(count);
+  const collectors = new Set(listCollectors(nodes, nodes[0]));
+  for (const node of nodes) {
+    const [collector] = listCollectors(nodes, node);
+    if (node.name === collector) continue;
+    calls.set(collector, (calls.get(collector) ?? 0) + perSecond);
+  }
+  const exchanged = hasGroups(count) ? (collectors.size - 1) * perSecond : 0;
+  return Math.max(...calls.values()) + exchanged;
+}
+
+test('in a small deployment all nodes report to one collector', t => {
+  const nodes = listNodes(9, 3);
+  const first = new Set(nodes.map(node => listCollectors(nodes, node)[0]));
+  t.deepEqual([...first], ['node-000']);
+  t.is(shareIntervalMs(9), 100);
+});
+
+test('in a large deployment nodes report within their failure domain', t => {
+  const nodes = listNodes(195, 5);
+  for (const node of nodes) {
+    const [collector] = listCollectors(nodes, node);
+    const domain = nodes.find(({name}) => name === collector)?.failureDomain;
+    t.is(domain, node.failureDomain);
+  }
+});
+
+test('calls to the busiest collector grow with its domain, not with the fleet', t => {
+  // A call takes about 1.5 ms of a collector, which may have a third of a core.
+  for (const [count, domains] of [
+    [67, 3],
+    [195, 5],
+    [360, 12],
+  ]) {
+    const calls = busiestCollectorCalls(count, domains);
+    t.log({count, domains, calls});
+    t.true(calls * 0.001_5 < 0.324 / 2);
+  }
+});
+
+test('a node reports less often in a larger deployment, within bounds', t => {
+  for (const interval of [shareIntervalMs, consultIntervalMs]) {
+    let last = 0;
+    for (const count of [1, 9, 24, 67, 195, 360, 1_000]) {
+      t.true(interval(count) >= last);
+      last = interval(count);
+    }
+    t.is(interval(360), interval(1_000));
+  }
+});
