Heed what upstreams say of themselves in their answers

Cause: no decision read the field Server-Leaving of an answer or the Retry-After of a refusal, so a leaving upstream got requests until its entry changed, and a busy one was asked again at once.

Change: an answer with Server-Leaving excludes that incarnation of the upstream for this node, also when its entry expires and returns. A 503 with Retry-After excludes it for that time, 60 s at most; a value that cannot be parsed is logged and ignored. If no other upstream is left, the request is refused at once with the earliest time at which one may be used.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -5,6 +5,7 @@
   type UpstreamAnswer,
   type UpstreamRequest,
 } from '@parsleyarch/platform/headers';
+import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import * as http from 'node:http';
 import type {EntryNode, UpstreamState} from './node.js';
 import type {Exchange} from './exchange.js';
@@ -52,6 +53,8 @@
 /** A send in progress. */
 export interface Attempt {
   readonly upstream: UpstreamState;
+  /** The incarnation of the upstream to which it was sent. */
+  readonly registered: RegisteredUpstream;
   readonly startedAt: number;
   /** Work at the upstream at the time of the send, including its own. */
   readonly upstreamWork: number;
@@ -186,5 +189,12 @@
   }
   outgoing.end(exchange.body);
   const upstreamWork = presentWork + addedWork;
-  return {upstream, startedAt: node.clock(), upstreamWork, outcome, cancel};
+  return {
+    upstream,
+    registered: upstream.registered,
+    startedAt: node.clock(),
+    upstreamWork,
+    outcome,
+    cancel,
+  };
 }
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -18,7 +18,7 @@
 import {readAnswerBody, writeHead} from './relay.js';
 import {endWithFailure, recordAnswer} from './reply.js';
 import {reserveSend, mayAskLargerModel, mayHaveRun} from './retries.js';
-import {selectUpstream, type Selection} from './selection.js';
+import {findPauseMs, selectUpstream, type Selection} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
 import {relayStream} from './streaming.js';
 import {assignSide, recordSessionEnd} from './versions.js';
@@ -63,6 +63,9 @@
     const selection = selectUpstream(node, exchange, model);
     if (selection || exchange.ended || node.clock() >= waitUntil)
       return selection;
+    const pauseMs = findPauseMs(node, exchange);
+    if (pauseMs !== undefined && node.clock() + pauseMs >= waitUntil)
+      return undefined;
     await wait(CAPACITY_POLL_MS);
   }
 }
@@ -231,10 +234,18 @@
   return handleOutcome(node, exchange, progress, outcome);
 }
 
-function createFinalFailure(exchange: Exchange, progress: Progress): Failure {
+function createFinalFailure(
+  node: EntryNode,
+  exchange: Exchange,
+  progress: Progress,
+): Failure {
   const {reason} = progress;
-  if (!mayHaveRun(exchange))
-    return failure('no-upstream', reason, {retryAfterMs: RETRY_AFTER_MS});
+  if (!mayHaveRun(exchange)) {
+    // Before the pause that upstreams asked for ends, a retry would be in vain.
+    const pauseMs = findPauseMs(node, exchange) ?? 0;
+    const retryAfterMs = Math.max(RETRY_AFTER_MS, pauseMs);
+    return failure('no-upstream', reason, {retryAfterMs});
+  }
   return failure('upstream-lost', reason);
 }
 
@@ -260,6 +271,11 @@
     if (step === Step.retry) continue;
     if (progress.errorAnswer)
       endWithAnswer(node, exchange, progress.errorAnswer);
-    else endWithFailure(node, exchange, createFinalFailure(exchange, progress));
+    else
+      endWithFailure(
+        node,
+        exchange,
+        createFinalFailure(node, exchange, progress),
+      );
   }
 }
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -7,6 +7,7 @@
   readonly attempts: Counter<'service' | 'outcome'>;
   readonly firstByte: Histogram<'route'>;
   readonly models: Counter<'model' | 'use'>;
+  readonly notices: Counter<'kind'>;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -41,6 +42,12 @@
       buckets: FIRST_BYTE_BUCKETS_SECONDS,
       registers,
     }),
+    notices: new Counter({
+      name: 'parsleyarch_entry_upstream_notices_total',
+      help: 'Answers in which upstreams say that they leave or want a pause',
+      labelNames: ['kind'],
+      registers,
+    }),
     models: new Counter({
       name: 'parsleyarch_entry_models_total',
       help: 'Answers of models by whether they were passed on or dropped',
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -35,6 +35,7 @@
 import {createSharedLoad, type SharedLoad} from './load.js';
 import {createModelStatistics, type ModelStatistics} from './models.js';
 import {createDecisionLog} from './notes.js';
+import type {UpstreamNotice} from './notices.js';
 import {createHolderState, type HolderState} from './holder.js';
 import type {EntrySettings} from './settings.js';
 import {createVersions, type Versions} from './versions.js';
@@ -106,6 +107,8 @@
   /** Configuration in force; absent until the first one is read. */
   routes?: RouteIndex;
   readonly upstreams: Map<string, UpstreamState>;
+  /** What upstreams said of themselves, by upstream. */
+  readonly notices: Map<string, UpstreamNotice>;
   /** Failure domains that operators have taken out of service. */
   readonly evacuated: Set<string>;
   readonly orders: Map<string, KnownOrder>;
@@ -177,6 +180,7 @@
     clock: () => performance.now(),
     random: Math.random,
     upstreams: new Map(),
+    notices: new Map(),
     evacuated: new Set(),
     orders: new Map(),
     versions: createVersions(),
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -13,6 +13,7 @@
 import type {Exchange} from './exchange.js';
 import {workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
+import {isLeaving, pausedUntil} from './notices.js';
 import {allowsVersion} from './versions.js';
 
 /** Time for which a failure adds to the cost of an upstream. */
@@ -40,6 +41,22 @@
   jitter: 0.3,
 };
 
+/**
+ * Time until an upstream that wants no requests now may be used again,
+ * milliseconds; `undefined` if another reason excludes all upstreams.
+ */
+export function findPauseMs(
+  node: EntryNode,
+  exchange: Exchange,
+): number | undefined {
+  let earliest = Infinity;
+  for (const state of node.upstreams.values()) {
+    if (findExclusion(node, exchange, state) !== PAUSED) continue;
+    earliest = Math.min(earliest, pausedUntil(node, state.registered));
+  }
+  return earliest === Infinity ? undefined : earliest - node.clock();
+}
+
 /** Work at the least loaded upstream that halves the cross-domain penalty. */
 const DOMAIN_PENALTY_HALVING_WORK = 4;
 
@@ -109,6 +126,8 @@
   return shared;
 }
 
+const PAUSED = 'paused';
+
 /** Returns why a request cannot use an upstream, or `undefined` if it can. */
 function findExclusion(
   node: EntryNode,
@@ -117,7 +136,8 @@
 ): string | undefined {
   const {registered} = state;
   if (registered.service !== exchange.service) return 'other service';
-  if (registered.draining) return 'draining';
+  if (registered.draining || isLeaving(node, registered)) return 'draining';
+  if (pausedUntil(node, registered) > node.clock()) return PAUSED;
   if (node.evacuated.has(registered.failureDomain)) return 'domain out';
   if (exchange.triedUpstreams.has(registered.id)) return 'tried';
   if (!allowsVersion(node, exchange, registered.version)) return 'version';
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -3,6 +3,7 @@
 import {isRepeatable, isStream, priorityOf, type Exchange} from './exchange.js';
 import {recordModelTime} from './models.js';
 import type {EntryNode} from './node.js';
+import {recordNotice} from './notices.js';
 import {
   hasUntriedUpstream,
   recordFailure,
@@ -109,6 +110,7 @@
   node.metrics.attempts.inc({service: exchange.service, outcome: outcome.kind});
   if (outcome.kind === 'answer' || outcome.kind === 'refused') {
     upstream.lastAnswerAt = node.clock();
+    recordNotice(node, attempt.registered, outcome.answer);
     const {load} = outcome.answer;
     if (outcome.kind === 'answer' && model)
       recordModelTime(node, exchange, model, attempt.upstreamWork, tookMs);
