Stop resources at once whose start ends during the shutdown

Cause: a node that was stopped while its listener for peers was still starting left that listener open, as it was registered after the shutdown had listed what to stop. The tests of a restored store hung on it.

Change: registering a resource during a shutdown stops it.

--- a/packages/lifecycle/src/manager.ts
+++ b/packages/lifecycle/src/manager.ts
@@ -23,26 +23,36 @@
   return {resources: [], onStopped};
 }
 
-/** Registers a started resource to be stopped on shutdown. */
+/**
+ * Registers a started resource to be stopped on shutdown. One whose start ends
+ * during the shutdown is stopped at once.
+ */
 export function registerResource(
   manager: ResourceManager,
   name: string,
   stop: ManagedResource['stop'],
 ): void {
   manager.resources.push({name, stop});
+  if (manager.stopping) void stopResource(manager, {name, stop});
 }
 
-async function stopResources(manager: ResourceManager): Promise<void> {
-  for (const {name, stop} of [...manager.resources].reverse()) {
-    try {
-      await stop();
-      manager.onStopped(name);
-    } catch (error) {
-      manager.onStopped(name, error);
-    }
+async function stopResource(
+  {onStopped}: ResourceManager,
+  {name, stop}: ManagedResource,
+): Promise<void> {
+  try {
+    await stop();
+    onStopped(name);
+  } catch (error) {
+    onStopped(name, error);
   }
 }
 
+async function stopResources(manager: ResourceManager): Promise<void> {
+  for (const resource of [...manager.resources].reverse())
+    await stopResource(manager, resource);
+}
+
 /** Stops all resources in reverse order; one that fails does not keep the rest from stopping. */
 export function stopAll(manager: ResourceManager): Promise<void> {
   manager.stopping ??= stopResources(manager);
