Order what comes from the store by era, then by revision

Cause: a store that is restored from a copy gives revisions out again and has lost leases; the code took revisions as a total order.

Change: feed, relay, confirmations, holder and registrations go by era and revision. In a new era a node reads everything, registers again and acts on no lease of an earlier one. An order that is written again keeps its state under its new revision. A holder that knows less than the nodes' reports leaves the lease to another node. The nodes' shared key is written back, or replaced if a new node wrote one first.

Open: a node that starts after the restoration, before the operators have written again, accepts what the copy holds (docs/FINDINGS.md).

--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -7,11 +7,15 @@
 import {STORE_KEY} from '@parsleyarch/platform/names';
 import {hashName} from '@parsleyarch/policy/rendezvous';
 import {indexRoutes} from '@parsleyarch/policy/routes';
-import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
+import type {
+  RegisteredUpstream,
+  RolloutOrder,
+} from '@parsleyarch/resource/routing';
 import type {StoredItem} from '@parsleyarch/store/keyspace';
 import type {Subscriber} from './feed.js';
 import type {EntryNode, UpstreamState} from './node.js';
-import {forgetOrder} from './versions.js';
+import {removeMissing} from './restoration.js';
+import {forgetOrder, renumberOrder} from './versions.js';
 
 /** Time after a store outage in which entries may be missing, milliseconds. */
 const OUTAGE_RECOVERY_MS = 2_000;
@@ -31,6 +35,13 @@
   }
   const from = node.routes?.table.version;
   if (from === table.version) return;
+  if (from !== undefined && table.version < from) {
+    node.log.warn(
+      {from, offered: table.version, revision: item.revision},
+      'configuration is older than the one in force; keeping that',
+    );
+    return;
+  }
   node.routes = indexRoutes(table);
   node.metrics.configuration.set(table.version);
   node.onConfiguration(table);
@@ -40,6 +51,10 @@
   );
 }
 
+function isSameOrder(a: RolloutOrder, b: RolloutOrder): boolean {
+  return a.target === b.target && a.durationMs === b.durationMs;
+}
+
 function applyRollout(node: EntryNode, item: StoredItem): void {
   const service = item.key.slice(STORE_KEY.rollouts.length);
   if (!item.value) {
@@ -56,10 +71,22 @@
     return;
   }
   const {revision} = item;
+  const {era} = node.feed;
   const known = node.orders.get(order.service);
-  if (known?.revision === revision) return;
+  if (known?.revision === revision && known.era === era) return;
+  if (known && known.era < era && isSameOrder(known, order)) {
+    renumberOrder(node, known, revision);
+    node.orders.set(order.service, {...known, revision, era});
+    node.log.info({...order, revision, era}, 'roll-out order kept');
+    return;
+  }
   if (known) forgetOrder(node, known.revision);
-  node.orders.set(order.service, {...order, revision, seenAt: node.clock()});
+  node.orders.set(order.service, {
+    ...order,
+    revision,
+    era,
+    seenAt: node.clock(),
+  });
   node.log.info({...order, revision}, 'roll-out ordered');
 }
 
@@ -110,11 +137,13 @@
       const keys = new Set(items.map(({key}) => key));
       for (const domain of [...node.evacuated]) {
         const key = STORE_KEY.evacuations + domain;
-        if (!keys.has(key)) applyEvacuation(node, {key, revision: 0});
+        const remove = () => applyEvacuation(node, {key, revision: 0});
+        if (!keys.has(key)) removeMissing(node, key, remove);
       }
       for (const service of [...node.orders.keys()]) {
         const key = STORE_KEY.rollouts + service;
-        if (!keys.has(key)) applyRollout(node, {key, revision: 0});
+        const remove = () => applyRollout(node, {key, revision: 0});
+        if (!keys.has(key)) removeMissing(node, key, remove);
       }
       for (const item of items) applyOperatorItem(node, item);
     },
--- a/apps/router/src/entry/feed.ts
+++ b/apps/router/src/entry/feed.ts
@@ -8,7 +8,7 @@
   ChangesAfter,
   Confirmation,
 } from '@parsleyarch/peer/messages';
-import type {StoredItem} from '@parsleyarch/store/keyspace';
+import type {StoredEvents, StoredItem} from '@parsleyarch/store/keyspace';
 import {confirmationAge} from './freshness.js';
 import type {EntryNode} from './node.js';
 
@@ -36,6 +36,8 @@
 
 /** The store's items and latest changes, as far as a node knows them. */
 export interface Feed {
+  /** Era of the store that the revisions belong to. */
+  era: number;
   /** Revision up to which changes are known; absent before the first read. */
   revision?: number;
   readonly items: Map<string, StoredItem>;
@@ -50,6 +52,7 @@
 
 export function createFeed(): Feed {
   return {
+    era: 0,
     items: new Map(),
     recentChanges: [],
     recentSince: 0,
@@ -65,10 +68,11 @@
 /** Replaces all items by those of a full read, unless it is older. */
 export function replaceItems(
   feed: Feed,
-  items: readonly StoredItem[],
-  revision: number,
+  {items, revision, era}: StoredEvents,
 ): void {
-  if (revision < (feed.revision ?? 0)) return;
+  if (era < feed.era) return;
+  if (era === feed.era && revision < (feed.revision ?? 0)) return;
+  feed.era = era;
   feed.items.clear();
   for (const item of items) feed.items.set(item.key, item);
   feed.recentChanges.length = 0;
@@ -89,12 +93,12 @@
   }
 }
 
-/** Applies changes, in revision order, up to a revision. */
+/** Applies changes of the known era, in revision order, up to a revision. */
 export function applyChanges(
   feed: Feed,
-  items: readonly StoredItem[],
-  revision: number,
+  {items, revision, era}: StoredEvents,
 ): void {
+  if (era !== feed.era) return;
   const known = feed.revision ?? 0;
   for (const item of items) {
     if (item.revision <= known) continue;
@@ -130,6 +134,7 @@
 /** How current this node's knowledge of the store is. */
 export function reportConfirmation(node: EntryNode): Confirmation {
   return {
+    era: node.feed.era,
     revision: node.feed.revision ?? 0,
     confirmedAgeMs: Math.min(MAX_REPORTED_AGE_MS, confirmationAge(node)),
   };
@@ -143,18 +148,21 @@
 /** Responds to a follower once there is a change or its wait has elapsed. */
 export async function serveFollower(
   node: EntryNode,
-  {revision, waitMs}: ChangesAfter,
+  {era, revision, waitMs}: ChangesAfter,
 ): Promise<Changes> {
   const {feed} = node;
   const arrivedAt = node.clock();
   if (feed.revision === undefined)
     throw new Error('nothing was read from the store yet');
+  if (era > feed.era)
+    throw new Error('nothing was read in the new era of the store yet');
   // Responds as soon as the confirmation is stale, so that the follower can
   // switch to another source in time.
   const untilStaleMs = staleConfirmationMs(node) - confirmationAge(node);
-  if (feed.revision <= revision && untilStaleMs > 0)
+  const isCurrent = () => era === feed.era && feed.revision! <= revision;
+  if (isCurrent() && untilStaleMs > 0)
     await waitForChange(feed, Math.min(waitMs, untilStaleMs));
-  const whole = revision < feed.recentSince;
+  const whole = era < feed.era || revision < feed.recentSince;
   const items = whole
     ? [...feed.items.values()]
     : feed.recentChanges.filter(item => item.revision > revision);
--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -23,6 +23,7 @@
 import {err, type Result} from 'neverthrow';
 import {applyChanges, replaceItems, staleConfirmationMs} from './feed.js';
 import {confirmationAge} from './freshness.js';
+import {recordRestoration} from './restoration.js';
 import type {EntryNode} from './node.js';
 
 /**
@@ -136,6 +137,13 @@
   node.confirmedAt = Math.max(node.confirmedAt ?? 0, at);
 }
 
+/** Called before the first items of an era are applied. */
+function updateEra(node: EntryNode, era: number): void {
+  const {feed} = node;
+  if (feed.revision === undefined || era <= feed.era) return;
+  recordRestoration(node, era);
+}
+
 async function readStore(node: EntryNode): Promise<void> {
   const {following} = node;
   const sentAt = node.continuousClock();
@@ -143,7 +151,8 @@
   if (all.isErr()) return recordFailedCall(node, all.error.message);
   recordSuccessfulCall(node);
   following.mustReadAll = false;
-  replaceItems(node.feed, all.value.items, all.value.revision);
+  updateEra(node, all.value.era);
+  replaceItems(node.feed, all.value);
   recordConfirmation(node, sentAt);
 }
 
@@ -157,12 +166,12 @@
   );
   if (changes.isErr()) return recordFailedCall(node, changes.error.message);
   recordSuccessfulCall(node);
-  if (!changes.value) {
-    node.log.warn({revision}, 'history gone');
+  if (!changes.value || changes.value.era !== node.feed.era) {
+    node.log.warn({revision, era: node.feed.era}, 'history gone');
     node.following.mustReadAll = true;
     return;
   }
-  applyChanges(node.feed, changes.value.items, changes.value.revision);
+  applyChanges(node.feed, changes.value);
   recordConfirmation(node, sentAt);
 }
 
@@ -170,7 +179,8 @@
   const {feed, following} = node;
   if (node.clock() < following.retryAt) return wait(POLL_MS);
   updateSource(node, undefined);
-  if (feed.revision === undefined || following.mustReadAll)
+  const isNewEra = node.keyspace.era > feed.era;
+  if (feed.revision === undefined || following.mustReadAll || isNewEra)
     return readStore(node);
   await watchStore(node, feed.revision);
 }
@@ -184,14 +194,17 @@
   changes: Changes,
   sentAt: number,
 ): void {
+  if (changes.era < node.feed.era) return;
   const items = changes.items.map(toItem);
+  const {revision, era} = changes;
   if (changes.returnedAgoMs >= 0) {
     const returnedAt = node.clock() - changes.returnedAgoMs;
     const known = node.storeReturnedAt ?? -Infinity;
     node.storeReturnedAt = Math.max(known, returnedAt);
   }
-  if (changes.whole) replaceItems(node.feed, items, changes.revision);
-  else applyChanges(node.feed, items, changes.revision);
+  updateEra(node, era);
+  if (changes.whole) replaceItems(node.feed, {items, revision, era});
+  else applyChanges(node.feed, {items, revision, era});
   // The source sent the answer at this time of this node's clock or later.
   const answeredAt = sentAt + changes.heldMs;
   const confirmedAt = answeredAt - changes.confirmedAgeMs;
@@ -215,10 +228,12 @@
  */
 export function applyConfirmation(
   node: EntryNode,
-  {revision, confirmedAgeMs}: Confirmation,
+  {era, revision, confirmedAgeMs}: Confirmation,
   sentAt: number,
 ): void {
-  if (revision === 0 || (node.feed.revision ?? 0) < revision) return;
+  const {feed, keyspace} = node;
+  if (era !== feed.era || era < keyspace.era) return;
+  if (revision === 0 || (feed.revision ?? 0) < revision) return;
   recordConfirmation(node, sentAt - confirmedAgeMs);
 }
 
@@ -250,7 +265,7 @@
     peers.client!,
     address,
     'followChanges',
-    {revision: feed.revision!, waitMs},
+    {era: feed.era, revision: feed.revision!, waitMs},
     waitMs + SOURCE_MARGIN_MS,
   );
   const changes = await Promise.race([called, abandoned]);
@@ -270,8 +285,9 @@
     const skipMs = Math.min(MAX_SKIP_MS, Math.max(MIN_SKIP_MS, lastSkipMs * 2));
     return skipSource(node, source, skipMs, changes.error.message);
   }
-  const {confirmedAgeMs} = changes.value;
-  const isStale = confirmedAgeMs >= staleConfirmationMs(node);
+  const {confirmedAgeMs, era} = changes.value;
+  const isStale =
+    confirmedAgeMs >= staleConfirmationMs(node) || era < node.keyspace.era;
   if (isStale)
     skipSource(node, source, MIN_SKIP_MS, `confirmed ${confirmedAgeMs} ms ago`);
   else {
--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -36,6 +36,7 @@
   applyKeptSessions,
   type MergedSessions,
 } from './kept-sessions.js';
+import {knownEra} from './restoration.js';
 import {followedSequence, createRolloutView} from './rollout-view.js';
 import {collectRolloutReports} from './version-tallies.js';
 import {findPlan} from './versions.js';
@@ -45,6 +46,10 @@
 /** Fraction of the lease TTL for which the holder acts without a renewal. */
 const USABLE_LEASE_RATIO = 0.7;
 const CONSULT_TIMEOUT_MS = 800;
+/** Time in which a new holder receives reports from all nodes. */
+const FIRST_REPORTS_MS = 1_000;
+/** Time for which a node that knows less than others leaves the lease to them. */
+const YIELD_MS = 5_000;
 const HOLDER_KEY = `${STORE_KEY.router}holder`;
 export const PLAN_KEY_PREFIX = `${STORE_KEY.router}rollout/`;
 
@@ -64,9 +69,15 @@
   holder?: {readonly node: string; readonly revision: number};
   /** Lease of this node, while it is the holder. */
   lease?: number;
+  /** Era of the store in which the lease was granted. */
+  leaseEra: number;
   /** Until when this node may act as the holder; monotonic milliseconds. */
   leaseUsableUntil: number;
   renewedAt: number;
+  /** When this node became the holder. */
+  heldSince: number;
+  /** Until when this node leaves the lease to others. */
+  yieldedUntil: number;
   /** Latest reports, by node. */
   readonly reports: Map<string, ReceivedReports>;
   /** Sessions that stay on the old version, by order revision. */
@@ -77,26 +88,38 @@
 
 export function createHolderState(): HolderState {
   return {
+    leaseEra: 0,
     leaseUsableUntil: 0,
     renewedAt: 0,
+    heldSince: 0,
+    yieldedUntil: -Infinity,
     reports: new Map(),
     mergedSessions: new Map(),
     snapshots: new Map(),
   };
 }
 
-function isHolder({holderState, settings, clock}: EntryNode): boolean {
+function isHolder(node: EntryNode): boolean {
+  const {holderState, settings, clock} = node;
   return (
     holderState.holder?.node === settings.node &&
     holderState.lease !== undefined &&
+    holderState.leaseEra === knownEra(node) &&
     clock() < holderState.leaseUsableUntil
   );
 }
 
+/** Whether the store lacks the plan on which this node acts. */
+function mustRestorePlan(node: EntryNode, order: KnownOrder): boolean {
+  const known = node.versions.plans.get(order.service);
+  return known?.isStored === false && order.era === node.feed.era;
+}
+
 function listActiveOrders(node: EntryNode): KnownOrder[] {
   return [...node.orders.values()].filter(order => {
     const plan = findPlan(node, order);
-    return !plan || !isRolloutOver(plan);
+    if (!plan || !isRolloutOver(plan)) return true;
+    return mustRestorePlan(node, order);
   });
 }
 
@@ -123,6 +146,8 @@
     return;
   }
   holderState.lease = lease;
+  holderState.leaseEra = keyspace.era;
+  holderState.heldSince = sentAt;
   holderState.leaseUsableUntil = sentAt + ttlMs * USABLE_LEASE_RATIO;
   holderState.renewedAt = sentAt;
   holderState.holder = {node: settings.node, revision: written.value};
@@ -223,11 +248,33 @@
   });
 }
 
+/** Whether a node acts on a later plan than this one, as its report says. */
+function isBehind(node: EntryNode, order: KnownOrder): boolean {
+  const sequence = findPlan(node, order)?.sequence ?? 0;
+  for (const {reports} of node.holderState.reports.values()) {
+    for (const report of reports) {
+      if (report.order === order.revision && report.sequence > sequence)
+        return true;
+    }
+  }
+  return false;
+}
+
 async function advanceRollout(
   node: EntryNode,
   order: KnownOrder,
 ): Promise<void> {
+  const {feed, holderState} = node;
+  const heldMs = node.clock() - holderState.heldSince;
   const plan = findPlan(node, order);
+  if (plan && mustRestorePlan(node, order)) return writePlan(node, order, plan);
+  // After a restoration, nodes may act on plans that the store has lost.
+  if (!plan && feed.era > 0 && heldMs < FIRST_REPORTS_MS) return;
+  if (isBehind(node, order)) {
+    holderState.yieldedUntil = node.clock() + YIELD_MS;
+    node.log.warn({service: order.service}, 'another node knows a later plan');
+    return releaseHolderLease(node);
+  }
   if (!plan) {
     const {revision, service, target} = order;
     return writePlan(node, order, createRolloutPlan(revision, service, target));
@@ -291,17 +338,24 @@
     if (holderState.lease !== undefined) await releaseHolderLease(node);
     return;
   }
-  if (!holderState.holder && !node.stopping) await acquireHolderLease(node);
+  if (holderState.leaseEra < knownEra(node))
+    dropHolderLease(node, 'the store was restored');
+  const mayAcquire = !node.stopping && node.clock() > holderState.yieldedUntil;
+  if (!holderState.holder && mayAcquire) await acquireHolderLease(node);
   else await renewHolderLease(node);
   await consultHolder(node);
   if (!isHolder(node) || node.stopping) return;
-  for (const order of activeOrders) await advanceRollout(node, order);
+  for (const order of activeOrders) {
+    if (isHolder(node)) await advanceRollout(node, order);
+  }
 }
 
 async function releaseHolderLease(node: EntryNode): Promise<void> {
-  const {lease} = node.holderState;
+  const {lease, leaseEra} = node.holderState;
   if (lease === undefined) return;
   dropHolderLease(node, 'released');
+  // After a restoration the ID may belong to a lease of another node.
+  if (leaseEra !== knownEra(node)) return;
   await revokeLease(node.keyspace, lease);
 }
 
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -20,7 +20,8 @@
 import type {Subscriber} from './feed.js';
 import {applyHolderChange, isHolderKey, PLAN_KEY_PREFIX} from './holder.js';
 import type {EntryNode} from './node.js';
-import {keepSessions} from './versions.js';
+import {knownEra, removeMissing} from './restoration.js';
+import {applyPlan, markMissingPlans} from './versions.js';
 
 /** Time after which a registration expires without renewal, milliseconds. */
 const LEASE_TTL_MS = 10_000;
@@ -44,6 +45,8 @@
 
 interface Registration {
   lease?: number;
+  /** Era of the store in which the lease was granted. */
+  era: number;
   registered: boolean;
 }
 
@@ -60,6 +63,7 @@
     const granted = await grantLease(node.keyspace, LEASE_TTL_MS);
     if (granted.isErr()) return;
     registration.lease = granted.value.lease;
+    registration.era = node.keyspace.era;
   }
   const {lease} = registration;
   const key = MEMBERS_PREFIX + node.settings.node;
@@ -73,13 +77,17 @@
     registration.lease = undefined;
 }
 
-/** Creates the key that the nodes share, unless another node has done so. */
-async function createPeerKey(node: EntryNode): Promise<void> {
-  if (node.peers.key !== undefined) return;
+/**
+ * Writes the key that the nodes share if the store lacks it, at the first start
+ * of all nodes or after a restoration.
+ */
+async function ensurePeerKey(node: EntryNode): Promise<void> {
+  if (node.feed.items.has(PEER_KEY)) return;
   // A random delay, so that not all nodes that start together write the key.
   await wait(node.random() * MAX_KEY_JITTER_MS);
-  if (node.peers.key !== undefined) return;
-  const value = Buffer.from(randomBytes(PEER_KEY_BYTES).toString('hex'));
+  if (node.feed.items.has(PEER_KEY)) return;
+  const newKey = randomBytes(PEER_KEY_BYTES).toString('hex');
+  const value = Buffer.from(node.peers.key ?? newKey);
   await commitTransaction(node.keyspace, {
     expected: [{key: PEER_KEY, revision: 0}],
     writes: [{key: PEER_KEY, value}],
@@ -91,7 +99,12 @@
   node: EntryNode,
   registration: Registration,
 ): Promise<void> {
-  await createPeerKey(node);
+  await ensurePeerKey(node);
+  if (registration.era < knownEra(node)) {
+    // The store was restored: the lease is gone, and its ID may be given again.
+    registration.lease = undefined;
+    registration.registered = false;
+  }
   if (!registration.registered) return register(node, registration);
   const renewed = await renewLease(node.keyspace, registration.lease ?? 0);
   if (renewed.isErr() || renewed.value) return;
@@ -103,7 +116,7 @@
 
 /** Keeps the node registered until it stops. */
 export function keepRegistered(node: EntryNode): void {
-  const registration: Registration = {registered: false};
+  const registration: Registration = {registered: false, era: 0};
   const running = repeat(
     RENEW_INTERVAL_MS,
     () => renewRegistration(node, registration),
@@ -111,8 +124,9 @@
   );
   registerResource(node.manager, 'registration', async () => {
     void running.end();
-    const {lease} = registration;
-    if (lease !== undefined) await revokeLease(node.keyspace, lease);
+    const {lease, era} = registration;
+    if (lease !== undefined && era === knownEra(node))
+      await revokeLease(node.keyspace, lease);
     if (node.peers.client) closePeerClient(node.peers.client);
   });
 }
@@ -133,7 +147,7 @@
   node.peakMemberCount = Math.max(node.peakMemberCount, node.members.size);
 }
 
-function applyPlan(node: EntryNode, item: StoredItem): void {
+function applyPlanItem(node: EntryNode, item: StoredItem): void {
   const service = item.key.slice(PLAN_KEY_PREFIX.length);
   const plan: RolloutPlan | undefined =
     item.value && parseEntry(PlanEntry, item.value);
@@ -145,24 +159,28 @@
     );
     return;
   }
-  const known = node.versions.plans.get(service);
-  if (known && known.revision >= item.revision) return;
-  const {revision} = item;
-  node.versions.plans.set(service, {plan, revision, seenAt: node.clock()});
-  keepSessions(node, plan);
-  node.log.info({plan, revision}, 'roll-out plan in force');
+  applyPlan(node, plan, item.revision);
 }
 
 function applyRouterItem(node: EntryNode, item: StoredItem): void {
   if (item.key.startsWith(MEMBERS_PREFIX)) applyMember(node, item);
-  else if (item.key.startsWith(PLAN_KEY_PREFIX)) applyPlan(node, item);
+  else if (item.key.startsWith(PLAN_KEY_PREFIX)) applyPlanItem(node, item);
   else if (isHolderKey(item.key))
     applyHolderChange(node, item.value, item.revision);
-  else if (item.key === PEER_KEY && item.value && !node.peers.key) {
-    node.peers.key = item.value.toString('utf8');
-    node.peers.client = createPeerClient(node.peers.key);
-    node.onPeerKey(node.peers.key);
-  }
+  else if (item.key === PEER_KEY && item.value)
+    applyPeerKey(node, item.value.toString('utf8'));
+}
+
+function applyPeerKey(node: EntryNode, key: string): void {
+  const {peers} = node;
+  if (peers.key === key) return;
+  const isFirst = peers.key === undefined;
+  if (peers.client) closePeerClient(peers.client);
+  peers.key = key;
+  peers.client = createPeerClient(key);
+  if (isFirst) return node.onPeerKey();
+  // Only possible after a restoration, when a new node wrote another key first.
+  node.log.warn('the key that the nodes share has changed');
 }
 
 /** Applies the keys that the router itself writes. */
@@ -170,7 +188,17 @@
   return {
     prefix: STORE_KEY.router,
     reset(items) {
-      node.members.clear();
+      const keys = new Set(items.map(({key}) => key));
+      for (const name of [...node.members.keys()]) {
+        const key = MEMBERS_PREFIX + name;
+        const remove = () => void node.members.delete(name);
+        if (!keys.has(key)) removeMissing(node, key, remove);
+      }
+      const planKeys = [...keys].filter(key => key.startsWith(PLAN_KEY_PREFIX));
+      markMissingPlans(
+        node,
+        new Set(planKeys.map(key => key.slice(PLAN_KEY_PREFIX.length))),
+      );
       if (!items.some(({key}) => isHolderKey(key)))
         applyHolderChange(node, undefined, 0);
       for (const item of items) applyRouterItem(node, item);
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -8,6 +8,7 @@
   readonly firstByte: Histogram<'route'>;
   readonly models: Counter<'model' | 'use'>;
   readonly notices: Counter<'kind'>;
+  readonly restorations: Counter;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -42,6 +43,11 @@
       buckets: FIRST_BYTE_BUCKETS_SECONDS,
       registers,
     }),
+    restorations: new Counter({
+      name: 'parsleyarch_entry_store_restorations_total',
+      help: 'Times that the store was found restored from a copy',
+      registers,
+    }),
     notices: new Counter({
       name: 'parsleyarch_entry_upstream_notices_total',
       help: 'Answers in which upstreams say that they leave or want a pause',
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -75,6 +75,8 @@
 /** A roll-out order with the revision that identifies it. */
 export interface KnownOrder extends RolloutOrder {
   readonly revision: number;
+  /** Era of the store in which the revision counts. */
+  readonly era: number;
   /** When this node received it, monotonic milliseconds. */
   readonly seenAt: number;
 }
@@ -133,6 +135,8 @@
   readonly following: Following;
   /** Whether the store is unreachable, directly and through other nodes. */
   storeLost: boolean;
+  /** When the store was last found restored from a copy, monotonic milliseconds. */
+  restoredAt: number;
   /** When the store last became reachable again, monotonic milliseconds. */
   storeReturnedAt?: number;
   /** Writes a decision log line unless the rate limit drops it. */
@@ -143,7 +147,7 @@
   /** Called with each configuration that comes into force. */
   onConfiguration: (table: RoutingTable) => void;
   /** Called once the key shared by the nodes is known. */
-  onPeerKey: (key: string) => void;
+  onPeerKey: () => void;
   /** Milliseconds, including time in which the machine is suspended. */
   readonly continuousClock: () => number;
   /** Whether callers are being served. */
@@ -194,6 +198,7 @@
     feed: createFeed(),
     following: createFollowing(),
     storeLost: false,
+    restoredAt: -Infinity,
     onConfiguration: () => {},
     onPeerKey: () => {},
     continuousClock: () =>
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -66,9 +66,10 @@
   ingress.closeAllConnections();
 }
 
-async function servePeers(node: EntryNode, key: string): Promise<void> {
+async function servePeers(node: EntryNode): Promise<void> {
+  const currentKey = () => node.peers.key ?? '';
   try {
-    const server = await listenForPeers(node.settings.peers, key, {
+    const server = await listenForPeers(node.settings.peers, currentKey, {
       consult: consultation => answerConsultation(node, consultation),
       shareLoad: report => collectLoad(node, report),
       followChanges: request => serveFollower(node, request),
@@ -95,7 +96,7 @@
   node.onConfiguration = table => applyCallerLimits(ingress, table);
   // Connections are accepted at once; requests get 503 before a configuration.
   await listen(ingress, settings.callers);
-  node.onPeerKey = key => void servePeers(node, key);
+  node.onPeerKey = () => void servePeers(node);
   node.feed.subscribers.push(
     routerSubscriber(node),
     operatorSubscriber(node),
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -36,7 +36,12 @@
 /** A plan, and when this node received it. */
 export interface KnownPlan {
   readonly plan: RolloutPlan;
+  /** Revision of the plan's key in the store; 0 if it does not exist. */
   readonly revision: number;
+  /** Era of the store in which the revision counts. */
+  readonly era: number;
+  /** Whether the store holds this plan, and not an earlier one or none. */
+  readonly isStored: boolean;
   readonly seenAt: number;
 }
 
@@ -179,18 +184,87 @@
   recordSession(node, exchange, node.clock());
 }
 
+/** State by the revision of an order. */
+function listOrderMaps({versions, holderState}: EntryNode) {
+  const {tallies, kept} = versions;
+  const {snapshots, mergedSessions} = holderState;
+  return [tallies, kept, snapshots, mergedSessions] as Map<number, unknown>[];
+}
+
 /** Deletes the state of an order that has been replaced. */
 export function forgetOrder(node: EntryNode, orderRevision: number): void {
-  const {tallies, kept, locallyReverted} = node.versions;
-  const {snapshots, mergedSessions} = node.holderState;
-  for (const known of [
-    tallies,
-    kept,
-    locallyReverted,
-    snapshots,
-    mergedSessions,
-  ])
-    known.delete(orderRevision);
+  for (const known of listOrderMaps(node)) known.delete(orderRevision);
+  node.versions.locallyReverted.delete(orderRevision);
+}
+
+/**
+ * Moves the state of an order to the revision under which it was written again
+ * after the store had been restored.
+ */
+export function renumberOrder(
+  node: EntryNode,
+  {service, revision: from}: KnownOrder,
+  to: number,
+): void {
+  if (from === to) return;
+  for (const known of listOrderMaps(node)) {
+    if (!known.has(from)) continue;
+    known.set(to, known.get(from));
+    known.delete(from);
+  }
+  const {locallyReverted, plans} = node.versions;
+  if (locallyReverted.delete(from)) locallyReverted.add(to);
+  const known = plans.get(service);
+  if (known?.plan.order !== from) return;
+  const plan = {...known.plan, order: to};
+  plans.set(service, {...known, plan, isStored: false});
+}
+
+/**
+ * Applies a plan that was read from the store, unless this node acts on a later
+ * one that a restored store lacks.
+ */
+export function applyPlan(
+  node: EntryNode,
+  plan: RolloutPlan,
+  revision: number,
+): void {
+  const {era} = node.feed;
+  const {plans} = node.versions;
+  const known = plans.get(plan.service);
+  if (known?.era === era && known.revision >= revision) return;
+  if (known && isAhead(known, plan, era)) {
+    plans.set(plan.service, {...known, revision, era, isStored: false});
+    node.log.warn(
+      {stored: plan.sequence, known: known.plan.sequence},
+      'the store holds an earlier roll-out plan',
+    );
+    return;
+  }
+  const seenAt = node.clock();
+  plans.set(plan.service, {plan, revision, era, isStored: true, seenAt});
+  keepSessions(node, plan);
+  node.log.info({plan, revision}, 'roll-out plan in force');
+}
+
+function isAhead(known: KnownPlan, stored: RolloutPlan, era: number): boolean {
+  if (known.era === era && known.isStored) return false;
+  return (
+    known.plan.target === stored.target && known.plan.sequence > stored.sequence
+  );
+}
+
+/** Marks plans that a full read in a new era lacks as not stored. */
+export function markMissingPlans(
+  node: EntryNode,
+  stored: ReadonlySet<string>,
+): void {
+  const {era} = node.feed;
+  const {plans} = node.versions;
+  for (const [service, known] of plans) {
+    if (known.era === era || stored.has(service)) continue;
+    plans.set(service, {...known, revision: 0, era, isStored: false});
+  }
 }
 
 /** Records the side of a session; without an order, it is the old one. */
--- a/apps/router/src/serve.ts
+++ b/apps/router/src/serve.ts
@@ -184,7 +184,7 @@
   const {host, port} = settings.peers;
   const peers = await listenForPeers(
     `${host}:${port}`,
-    settings.peerKey,
+    () => settings.peerKey,
     peerHandlers(node),
   );
   registerResource(manager, 'peer-listener', () => closePeerServer(peers));
--- a/apps/router/test/entry/following.test.ts
+++ b/apps/router/test/entry/following.test.ts
@@ -141,11 +141,16 @@
 test('a follower that is far behind gets all items', async t =>
   withFollowers(t, async (site, [follower]) => {
     const {node} = site.entries[0];
-    const answer = await serveFollower(node, {revision: 0, waitMs: 0});
+    const answer = await serveFollower(node, {
+      era: 0,
+      revision: 0,
+      waitMs: 0,
+    });
     t.true(answer.whole);
     t.is(answer.items.length, node.feed.items.size);
     t.true(answer.confirmedAgeMs < 3_000);
     const next = await serveFollower(node, {
+      era: 0,
       revision: answer.revision,
       waitMs: 10,
     });
@@ -167,11 +172,12 @@
     revision,
     value: Buffer.from('x'),
   });
-  replaceItems(feed, [item(7)], 5);
-  applyChanges(feed, [item(6), item(7)], 7);
-  applyChanges(feed, [item(4)], 4);
-  replaceItems(feed, [item(3)], 3);
-  applyChanges(feed, [item(9)], 9);
+  const era = 0;
+  replaceItems(feed, {items: [item(7)], revision: 5, era});
+  applyChanges(feed, {items: [item(6), item(7)], revision: 7, era});
+  applyChanges(feed, {items: [item(4)], revision: 4, era});
+  replaceItems(feed, {items: [item(3)], revision: 3, era});
+  applyChanges(feed, {items: [item(9)], revision: 9, era});
   t.deepEqual(seen, [7, 9]);
   t.is(feed.revision, 9);
 });
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -61,20 +61,20 @@
   node.feed.revision = 7;
   applyConfirmation(
     node,
-    {revision: 8, confirmedAgeMs: 100},
+    {era: 0, revision: 8, confirmedAgeMs: 100},
     node.continuousClock(),
   );
   t.is(confirmationAge(node), Infinity);
   applyConfirmation(
     node,
-    {revision: 7, confirmedAgeMs: 100},
+    {era: 0, revision: 7, confirmedAgeMs: 100},
     node.continuousClock(),
   );
   const age = confirmationAge(node);
   t.true(age >= 100 && age < 1_000);
   applyConfirmation(
     node,
-    {revision: 7, confirmedAgeMs: 900},
+    {era: 0, revision: 7, confirmedAgeMs: 900},
     node.continuousClock(),
   );
   t.true(confirmationAge(node) < 900);
--- a/apps/standins/src/keyspace.ts
+++ b/apps/standins/src/keyspace.ts
@@ -35,11 +35,27 @@
   behavior: StoreBehavior;
   /** Watches that start before this revision get 410. */
   compactedRevision: number;
+  /** Number of restorations; stated in every answer. */
+  era: number;
   put(key: string, value: unknown): number;
   remove(key: string): void;
+  /** Copies the state. */
+  copy(): KeyspaceCopy;
+  /**
+   * Returns to a copy: later writes and all leases with their keys are lost, and
+   * waiting watches are cut.
+   */
+  restore(copy: KeyspaceCopy): void;
   close(): Promise<void>;
 }
 
+/** State of the store at some time. */
+export interface KeyspaceCopy {
+  readonly items: readonly Item[];
+  readonly historyLength: number;
+  readonly revision: number;
+}
+
 interface Lease {
   ttlMs: number;
   timer: NodeJS.Timeout;
@@ -69,6 +85,7 @@
 export async function startKeyspace(): Promise<KeyspaceStandIn> {
   const leases = new Map<number, Lease>();
   const watchers = new Set<() => void>();
+  const waiting = new Set<ServerResponse>();
   let nextLease = 100;
 
   const write = (key: string, value: string | undefined, lease = 0) => {
@@ -99,7 +116,10 @@
   ): void => {
     if (store.behavior === StoreBehavior.losesResponses)
       return void response.destroy();
-    response.writeHead(status, {'content-type': 'application/json'});
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'store-era': store.era,
+    });
     response.end(body === undefined ? '' : JSON.stringify(body));
   };
 
@@ -119,7 +139,8 @@
     const prefix = url.searchParams.get('path_prefix') ?? '';
     const after = Number(url.searchParams.get('after'));
     const waitMs = Number(url.searchParams.get('wait_ms'));
-    if (after < store.compactedRevision) return send(response, 410, {});
+    if (after < store.compactedRevision || after > store.revision)
+      return send(response, 410, {});
     const newEvents = () => {
       const events = store.history.filter(
         ({key, rev}) => rev > after && key.startsWith(prefix),
@@ -131,6 +152,7 @@
     const finish = (body: unknown) => {
       clearTimeout(timer);
       watchers.delete(wake);
+      waiting.delete(response);
       send(response, 200, body);
     };
     const wake = () => {
@@ -144,8 +166,10 @@
     response.on('close', () => {
       clearTimeout(timer);
       watchers.delete(wake);
+      waiting.delete(response);
     });
     watchers.add(wake);
+    waiting.add(response);
     wake();
   };
   const transact = async (
@@ -206,6 +230,24 @@
     revision: 1,
     behavior: StoreBehavior.normal,
     compactedRevision: 0,
+    era: 0,
+    copy: () => ({
+      items: [...store.items.values()],
+      historyLength: store.history.length,
+      revision: store.revision,
+    }),
+    restore({items, historyLength, revision}) {
+      for (const {timer} of leases.values()) clearTimeout(timer);
+      leases.clear();
+      store.items.clear();
+      for (const item of items) {
+        if (item.lease === 0) store.items.set(item.key, item);
+      }
+      store.history.length = historyLength;
+      store.revision = revision;
+      store.era += 1;
+      for (const response of [...waiting]) response.destroy();
+    },
     put: (key, value) =>
       write(key, Buffer.from(JSON.stringify(value)).toString('base64')),
     remove: key => void write(key, undefined),
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -163,6 +163,8 @@
 }
 /** How current a node's knowledge of the store is. */
 export interface Confirmation {
+  /** Era of the store in which the revision counts. */
+  readonly era: number;
   /** Revision up to which all changes are known. */
   readonly revision: number;
   /**
@@ -177,6 +179,8 @@
 }
 /** Requests the store's changes after a revision. */
 export interface ChangesAfter {
+  /** Era of the store in which the revision counts. */
+  readonly era: number;
   readonly revision: number;
   /** Maximum time to wait for a change, milliseconds. */
   readonly waitMs: number;
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -30,14 +30,14 @@
 }
 
 function createUnaryHandler<C extends PeerCall>(
-  key: string,
+  currentKey: () => string,
   handle: PeerHandlers[C],
 ) {
   return async (
     call: ServerUnaryCall<PeerCalls[C][0], PeerCalls[C][1]>,
     respond: sendUnaryData<PeerCalls[C][1]>,
   ) => {
-    if (!hasKey(call.metadata, key)) {
+    if (!hasKey(call.metadata, currentKey())) {
       respond({code: status.UNAUTHENTICATED, details: 'wrong peer key'});
       return;
     }
@@ -49,10 +49,13 @@
   };
 }
 
-/** Starts the server; resolves once it is bound to the address. */
+/**
+ * Starts the server; resolves once it is bound to the address. Each call must
+ * carry the key that is current when it arrives.
+ */
 export async function listenForPeers(
   address: string,
-  key: string,
+  currentKey: () => string,
   handlers: Partial<PeerHandlers>,
 ): Promise<Server> {
   const server = new Server();
@@ -62,7 +65,7 @@
     Object.fromEntries(
       methods.map(method => [
         method,
-        createUnaryHandler(key, handlers[method]!),
+        createUnaryHandler(currentKey, handlers[method]!),
       ]),
     ),
   );
--- a/packages/store/src/http.ts
+++ b/packages/store/src/http.ts
@@ -13,6 +13,7 @@
 /** An answer; `body` is parsed JSON, `undefined` if it was empty. */
 export interface Reply {
   readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
   readonly body: unknown;
 }
 
@@ -61,7 +62,8 @@
         response.on('end', () => {
           try {
             const body = parseBody(chunks);
-            resolve({status: response.statusCode ?? 0, body});
+            const {statusCode: status = 0, headers} = response;
+            resolve({status, headers, body});
           } catch (thrown) {
             reject(thrown);
           }
--- a/packages/store/src/keyspace.ts
+++ b/packages/store/src/keyspace.ts
@@ -30,6 +30,11 @@
 export interface StoredEvents {
   readonly items: readonly StoredItem[];
   readonly revision: number;
+  /**
+   * Number of times that the store was restored from a copy. Revisions may be
+   * given out again after that, so they are ordered only within an era.
+   */
+  readonly era: number;
 }
 
 /** An atomic write with preconditions. */
@@ -55,7 +60,9 @@
   renewLease(lease: number): StoreCall;
   revokeLease(lease: number): StoreCall;
   readPage(body: unknown): StoredPage;
-  readEvents(body: unknown): StoredEvents;
+  readEvents(body: unknown): Omit<StoredEvents, 'era'>;
+  /** Era of an answer; `undefined` if it states none. */
+  readEra(headers: http.IncomingHttpHeaders): number | undefined;
   readCommit(body: unknown): number;
   readLease(body: unknown): Lease;
 }
@@ -67,6 +74,8 @@
   readonly timeoutMs: number;
   /** Number of calls made, by kind. */
   readonly calls: Map<string, number>;
+  /** Latest era that an answer stated; 0 if none did. */
+  era: number;
 }
 
 /** Creates a client. No connection is opened before the first call. */
@@ -77,7 +86,7 @@
 ): Keyspace {
   const agent = new http.Agent({keepAlive: true, maxSockets: 16});
   const url = new URL(address);
-  return {address: url, agent, dialect, timeoutMs, calls: new Map()};
+  return {address: url, agent, dialect, timeoutMs, calls: new Map(), era: 0};
 }
 
 /** Closes the client's connections. */
@@ -89,6 +98,10 @@
   return failure('store-unavailable', text, {retryAfterMs: 1_000});
 }
 
+function eraOf({dialect, era}: Keyspace, {headers}: Reply): number {
+  return dialect.readEra(headers) ?? era;
+}
+
 async function call<T>(
   keyspace: Keyspace,
   kind: string,
@@ -98,7 +111,12 @@
 ): Promise<Result<T, Failure>> {
   keyspace.calls.set(kind, (keyspace.calls.get(kind) ?? 0) + 1);
   try {
-    return read(await sendCall(keyspace, request, timeoutMs));
+    const reply = await sendCall(keyspace, request, timeoutMs);
+    const era = eraOf(keyspace, reply);
+    if (era < keyspace.era)
+      return err(unavailable(`${kind}: the answer is of an earlier era`));
+    keyspace.era = era;
+    return read(reply);
   } catch (thrown) {
     return err(unavailable(`${kind}: ${messageOf(thrown)}`));
   }
@@ -107,12 +125,29 @@
 const unexpectedStatus = (kind: string, {status}: Reply) =>
   err(unavailable(`${kind}: the store answered ${status}`));
 
-/** Reads the current items of a prefix, page by page. */
+/** Number of times that a read is started over as the era changed during it. */
+const MAX_READ_RESTARTS = 2;
+
+/** Reads the current items of a prefix, all of one era. */
 export async function readPrefix(
   keyspace: Keyspace,
   prefix: string,
 ): Promise<Result<StoredEvents, Failure>> {
+  for (let restarts = 0; restarts <= MAX_READ_RESTARTS; restarts += 1) {
+    const read = await readPages(keyspace, prefix);
+    if (read.isErr() || read.value)
+      return read as Result<StoredEvents, Failure>;
+  }
+  return err(unavailable('range: the era of the store keeps changing'));
+}
+
+/** Reads a prefix page by page; `undefined` if the era changed on the way. */
+async function readPages(
+  keyspace: Keyspace,
+  prefix: string,
+): Promise<Result<StoredEvents | undefined, Failure>> {
   const items: StoredItem[] = [];
+  let firstEra: number | undefined;
   // The revision of the first page, so that a watch from it delivers every change
   // made between two pages.
   let firstRevision: number | undefined;
@@ -121,15 +156,20 @@
     const request = keyspace.dialect.range(prefix, after);
     const page = await call(keyspace, 'range', request, reply =>
       reply.status === 200
-        ? ok(keyspace.dialect.readPage(reply.body))
+        ? ok({
+            ...keyspace.dialect.readPage(reply.body),
+            era: eraOf(keyspace, reply),
+          })
         : unexpectedStatus('range', reply),
     );
     if (page.isErr()) return err(page.error);
+    firstEra ??= page.value.era;
+    if (page.value.era !== firstEra) return ok(undefined);
     items.push(...page.value.items);
     firstRevision ??= page.value.revision;
     const last = page.value.items.at(-1);
     if (!page.value.hasMore || !last)
-      return ok({items, revision: firstRevision});
+      return ok({items, revision: firstRevision, era: firstEra});
     after = last.key;
   }
 }
@@ -154,7 +194,8 @@
     reply => {
       if (reply.status === HTTP_GONE) return ok(undefined);
       if (reply.status !== 200) return unexpectedStatus('watch', reply);
-      return ok(keyspace.dialect.readEvents(reply.body));
+      const era = eraOf(keyspace, reply);
+      return ok({...keyspace.dialect.readEvents(reply.body), era});
     },
     waitMs + keyspace.timeoutMs,
   );
