Bound what an upstream may send, and judge streams by their events

Cause, found by tests with upstreams in trouble: the body of a refusal was read without end; bytes without end in one event were buffered without a bound; a stream was cut after twice its pause objective even if it could not go on elsewhere, so slow but sound streams were cut; and any byte restarted the time after which a stream counts as stalled, so one that sent a byte now and then never ended.

Change: the body of a refusal is not read. An event has at most 1 MB, an answer of the store 16 MB. The gap of a stream counts from its last event. A stream that can go on at another upstream is moved after twice its pause objective, any other one is given up when its caller would leave (policy/stream-gaps.ts).

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -94,7 +94,8 @@
     response.rawHeaders,
   );
   if (answer.notRun) {
-    response.resume();
+    // The body is not needed, and may have no end.
+    response.destroy();
     return {kind: 'refused', answer};
   }
   const mismatch = findMismatch(answer, exchange);
--- a/apps/router/src/entry/relay.ts
+++ b/apps/router/src/entry/relay.ts
@@ -36,11 +36,18 @@
   return isComplete(body) ? Buffer.concat(chunks) : undefined;
 }
 
+/** Maximum size of an event; more than engines send in one. */
+const MAX_EVENT_BYTES = 1 << 20;
+
 /** Splits a stream into complete events and keeps the id of the last one. */
 export interface EventSplitter {
   /** Returns the complete events received so far and buffers the rest. */
   split(chunk: Buffer): Buffer;
   lastId: string;
+  /** Number of events with data so far. */
+  eventCount: number;
+  /** Whether an incomplete event exceeds the limit; it will not be completed. */
+  readonly isTooLarge: () => boolean;
   /** Discards an incomplete event before the stream resumes elsewhere. */
   reset(): void;
   /** Whether bytes of an incomplete event are buffered. */
@@ -61,6 +68,8 @@
   let partial: Buffer = Buffer.alloc(0);
   const splitter: EventSplitter = {
     lastId,
+    eventCount: 0,
+    isTooLarge: () => partial.length > MAX_EVENT_BYTES,
     split(chunk) {
       const bytes =
         partial.length === 0 ? chunk : Buffer.concat([partial, chunk]);
@@ -78,19 +87,23 @@
   };
   const parser = createParser({
     onEvent: ({id}) => {
+      splitter.eventCount += 1;
       if (id !== undefined) splitter.lastId = id;
     },
   });
   return splitter;
 }
 
-/** Writes bytes; under backpressure, waits until the caller reads or closes. */
+/**
+ * Writes bytes; under backpressure, waits until the caller reads or closes.
+ * Returns whether it has waited.
+ */
 export async function writeBytes(
   response: ServerResponse,
   bytes: Buffer,
-): Promise<void> {
-  if (bytes.length === 0 || response.destroyed) return;
-  if (response.write(bytes)) return;
+): Promise<boolean> {
+  if (bytes.length === 0 || response.destroyed) return false;
+  if (response.write(bytes)) return false;
   await new Promise<void>(resolve => {
     const done = () => {
       response.off('drain', done);
@@ -100,4 +113,5 @@
     response.on('drain', done);
     response.on('close', done);
   });
+  return true;
 }
--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -60,13 +60,22 @@
   return undefined;
 }
 
+/** Retries that a request which may have run may still use. */
+function countRetriesLeft(node: EntryNode, exchange: Exchange): number {
+  if (!isRepeatable(exchange)) return 0;
+  if (exchange.runs >= exchange.route.maxAttempts) return 0;
+  return retriesLeft(getRetryWindow(node, exchange.service), node.clock());
+}
+
+/** Whether a request that may have run may be sent once more. */
+export function mayRetry(node: EntryNode, exchange: Exchange): boolean {
+  return countRetriesLeft(node, exchange) >= 1;
+}
+
 /** Whether an answer may be discarded to ask a larger model instead. */
 export function mayAskLargerModel(
   node: EntryNode,
   exchange: Exchange,
 ): boolean {
-  if (!isRepeatable(exchange)) return false;
-  if (exchange.runs >= exchange.route.maxAttempts) return false;
-  const window = getRetryWindow(node, exchange.service);
-  return retriesLeft(window, node.clock()) > RESERVED_RETRY_COUNT;
+  return countRetriesLeft(node, exchange) > RESERVED_RETRY_COUNT;
 }
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -1,36 +1,71 @@
 /** Relays event streams and resumes them at another upstream if they break. */
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
+import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
-import {createEventSplitter, writeBytes, writeHead} from './relay.js';
+import {
+  createEventSplitter,
+  writeBytes,
+  writeHead,
+  type EventSplitter,
+} from './relay.js';
 import {recordAnswer} from './reply.js';
-import {reserveSend} from './retries.js';
-import {selectUpstream} from './selection.js';
+import {mayRetry, reserveSend} from './retries.js';
+import {hasUntriedUpstream, selectUpstream} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
 
-/** Longest pause in a stream, as a multiple of the pause objective. */
-const STALL_TIMEOUT_RATIO = 2;
+/** Whether a stream that makes no events may go on at another upstream. */
+function canMove(node: EntryNode, exchange: Exchange): boolean {
+  return mayRetry(node, exchange) && hasUntriedUpstream(node, exchange);
+}
+
+/** Ends a stream that makes no events for too long. */
+function watchGaps(
+  node: EntryNode,
+  exchange: Exchange,
+  body: AnswerBody,
+): {restart: () => void; stop: () => void} {
+  const {route} = exchange;
+  let timer: NodeJS.Timeout | undefined;
+  let lastEventAt = node.clock();
+  const check = () => {
+    const gapMs = node.clock() - lastEventAt;
+    if (isStalled(route, gapMs, canMove(node, exchange)))
+      return void body.message.destroy(new Error('stream stalled'));
+    timer = setTimeout(check, moveGapMs(route) / 2);
+  };
+  const stop = () => clearTimeout(timer);
+  const restart = () => {
+    stop();
+    lastEventAt = node.clock();
+    timer = setTimeout(check, moveGapMs(route));
+  };
+  restart();
+  return {restart, stop};
+}
 
 /** Relays events until the stream ends; returns false if it breaks. */
 async function relayEvents(
+  node: EntryNode,
   exchange: Exchange,
   body: AnswerBody,
-  splitter: ReturnType<typeof createEventSplitter>,
+  splitter: EventSplitter,
 ): Promise<boolean> {
-  const stallMs = exchange.route.pauseObjectiveMs * STALL_TIMEOUT_RATIO;
-  const abortStalled = () => body.message.destroy(new Error('stream stalled'));
-  let timer = setTimeout(abortStalled, stallMs);
+  const gaps = watchGaps(node, exchange, body);
   try {
     for await (const chunk of body.message as AsyncIterable<Buffer>) {
-      clearTimeout(timer);
-      await writeBytes(exchange.response, splitter.split(chunk));
-      timer = setTimeout(abortStalled, stallMs);
+      const known = splitter.eventCount;
+      const events = splitter.split(chunk);
+      if (splitter.isTooLarge()) return false;
+      // Time in which the caller does not read is no gap of the stream.
+      if (await writeBytes(exchange.response, events)) gaps.restart();
+      else if (splitter.eventCount > known) gaps.restart();
     }
   } catch {
     return false;
   } finally {
-    clearTimeout(timer);
+    gaps.stop();
   }
   return isComplete(body) && !splitter.hasPartial();
 }
@@ -55,7 +90,7 @@
     if (outcome.kind !== 'answer') continue;
     const {status} = outcome.answer;
     if (status >= 200 && status < 300) return outcome.body;
-    outcome.body.message.resume();
+    outcome.body.message.destroy();
   }
   return undefined;
 }
@@ -80,7 +115,7 @@
   const splitter = createEventSplitter(caller.lastEventId);
   let body: AnswerBody | undefined = firstBody;
   while (body) {
-    if (await relayEvents(exchange, body, splitter)) {
+    if (await relayEvents(node, exchange, body, splitter)) {
       if (exchange.ended) return true;
       exchange.ended = true;
       response.end();
--- a/packages/store/src/http.ts
+++ b/packages/store/src/http.ts
@@ -23,6 +23,9 @@
   readonly agent: http.Agent;
 }
 
+/** Maximum size of an answer; a page of a range has about 1 MB. */
+const MAX_REPLY_BYTES = 16 << 20;
+
 function parseBody(chunks: readonly Buffer[]): unknown {
   const text = Buffer.concat(chunks).toString('utf8');
   return text === '' ? undefined : JSON.parse(text);
@@ -54,7 +57,13 @@
       {method: call.method, agent, headers: headersOf(call, payload)},
       response => {
         const chunks: Buffer[] = [];
-        response.on('data', chunk => chunks.push(chunk));
+        let size = 0;
+        response.on('data', (chunk: Buffer) => {
+          chunks.push(chunk);
+          size += chunk.length;
+          if (size > MAX_REPLY_BYTES)
+            response.destroy(new Error('the answer is too large'));
+        });
         response.on('error', reject);
         response.on('close', () =>
           reject(new Error('connection closed before the end of the answer')),
