Keep no more retries back than a node's part of the slack

Cause: four retries of the window were kept back for failures.

Change: the reserve is at most the slack. Small sites keep four.

--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -1,5 +1,6 @@
 /** Decides whether a request may be sent again. */
 import {
+  allowsLargerModel,
   countFirstSend,
   createRetryWindow,
   retriesLeft,
@@ -14,8 +15,6 @@
 /** Fractions of the configured retry ratio and slack that are used. */
 const RETRY_RATIO_SAFETY_RATIO = 0.92;
 const RETRY_SLACK_SAFETY_RATIO = 0.7;
-/** Retries reserved for failures; larger models are asked only beyond them. */
-const RESERVED_RETRY_COUNT = 4;
 
 function getRetryWindow(node: EntryNode, service: string): RetryWindow {
   const known = node.retries.get(service);
@@ -60,16 +59,14 @@
   return undefined;
 }
 
-/** Retries that a request which may have run may still use. */
-function countRetriesLeft(node: EntryNode, exchange: Exchange): number {
-  if (!isRepeatable(exchange)) return 0;
-  if (exchange.runs >= exchange.route.maxAttempts) return 0;
-  return retriesLeft(getRetryWindow(node, exchange.service), node.clock());
+function hasAttemptLeft(exchange: Exchange): boolean {
+  return isRepeatable(exchange) && exchange.runs < exchange.route.maxAttempts;
 }
 
 /** Whether a request that may have run may be sent once more. */
 export function mayRetry(node: EntryNode, exchange: Exchange): boolean {
-  return countRetriesLeft(node, exchange) >= 1;
+  const window = getRetryWindow(node, exchange.service);
+  return hasAttemptLeft(exchange) && retriesLeft(window, node.clock()) >= 1;
 }
 
 /** Whether an answer may be discarded to ask a larger model instead. */
@@ -77,5 +74,6 @@
   node: EntryNode,
   exchange: Exchange,
 ): boolean {
-  return countRetriesLeft(node, exchange) > RESERVED_RETRY_COUNT;
+  const window = getRetryWindow(node, exchange.service);
+  return hasAttemptLeft(exchange) && allowsLargerModel(window, node.clock());
 }
--- a/packages/policy/src/retry-window.ts
+++ b/packages/policy/src/retry-window.ts
@@ -65,6 +65,20 @@
   return Math.max(0, Math.floor(firstSends * ratio + slack) - retries);
 }
 
+/** Retries that are kept for failures and not used for larger models. */
+const RESERVED_RETRY_COUNT = 4;
+
+/**
+ * Whether a request may be sent to a larger model after a smaller one answered.
+ * A few retries are kept for failures, but never more than the slack: in a large
+ * deployment a node's part of that is less than two, and each node gets only a
+ * few requests a second, so that a fixed reserve would forbid larger models.
+ */
+export function allowsLargerModel(window: RetryWindow, now: number): boolean {
+  const reserved = Math.min(RESERVED_RETRY_COUNT, window.bounds.slack);
+  return retriesLeft(window, now) > reserved;
+}
+
 /** Counts a retry if the budget allows one; returns whether it does. */
 export function consumeRetry(window: RetryWindow, now: number): boolean {
   if (retriesLeft(window, now) < 1) return false;
--- a/packages/policy/test/entry.test.ts
+++ b/packages/policy/test/entry.test.ts
@@ -1,6 +1,7 @@
 /** Tests of the decisions on the entry path. */
 import {chanceGood, escalate} from '@parsleyarch/policy/model-choice';
 import {
+  allowsLargerModel,
   countFirstSend,
   createRetryWindow,
   retriesLeft,
@@ -149,6 +150,20 @@
   t.pass();
 });
 
+test('at 195 nodes a node may ask a larger model from its first requests on', t => {
+  const slack = (430 * 0.7) / 195;
+  const window = createRetryWindow({windowMs: 10_000, ratio: 0.828, slack});
+  let asked = 0;
+  for (let sent = 0; sent < 20; sent += 1) {
+    countFirstSend(window, sent * 500);
+    // About two in five answers of the smallest model are not good enough.
+    if (sent % 5 >= 2 || !allowsLargerModel(window, sent * 500)) continue;
+    t.true(consumeRetry(window, sent * 500));
+    asked += 1;
+  }
+  t.is(asked, 8);
+});
+
 test('a window without requests allows only its slack', t => {
   const window = createRetryWindow({windowMs: 5_000, ratio: 0.5, slack: 2});
   t.true(consumeRetry(window, 0));
