--- a/apps/router/test/entry/trouble.test.ts
+++ b/apps/router/test/entry/trouble.test.ts
@@ -204,6 +204,22 @@
   },
 );
 
+test.serial(
+  'bytes without end in an event end a stream that cannot go on elsewhere',
+  async t => {
+    const {site, entry} = await start(t, 1);
+    site.runners[0].script = (request, response) => {
+      openStream(request, response);
+      response.write(event(1));
+      void writeForever(response);
+    };
+    const answer = await call(entry, openCall('/plain/x'));
+    t.false(answer.complete);
+    t.is(answer.body, event(1));
+    t.true(answer.tookMs < CALLER_GAP_MS / 2);
+  },
+);
+
 for (const path of ['/plain/x', '/resumable/x']) {
   test.serial(`a slow but sound stream on ${path} is not cut`, async t => {
     const {site, entry} = await start(t, 1);
