Expose no new sessions while the holder of a roll-out does not answer

Cause: a node went on with a plan however long it had not heard from the holder, and a holder whose lease had run out still answered reports.

Change: after three missed reports, 3 s at least, a node assigns no new sessions to the version under test; known ones stay on it. A node that may not act as the holder answers no reports.

--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -76,6 +76,8 @@
   renewedAt: number;
   /** When this node became the holder. */
   heldSince: number;
+  /** When the holder last answered a report, monotonic milliseconds. */
+  advisedAt: number;
   /** Until when this node leaves the lease to others. */
   yieldedUntil: number;
   /** Latest reports, by node. */
@@ -92,6 +94,7 @@
     leaseUsableUntil: 0,
     renewedAt: 0,
     heldSince: 0,
+    advisedAt: -Infinity,
     yieldedUntil: -Infinity,
     reports: new Map(),
     mergedSessions: new Map(),
@@ -284,11 +287,15 @@
   if (change) await applyPlanChange(node, order, plan, view, change);
 }
 
-/** Stores a node's reports and returns the kept sessions that it lacks. */
+/**
+ * Stores a node's reports and returns the kept sessions that it lacks. Throws if
+ * this node may not act as the holder, so that others do not rely on it.
+ */
 export function answerConsultation(
   node: EntryNode,
   {node: name, reports}: Consultation,
 ): Advice {
+  if (!isHolder(node)) throw new Error('this node does not hold the roll-outs');
   node.holderState.reports.set(name, {receivedAt: node.clock(), reports});
   const kept: KeptSessions[] = [];
   for (const report of reports) {
@@ -300,6 +307,7 @@
 }
 
 function applyAdvice(node: EntryNode, {kept}: Advice): void {
+  node.holderState.advisedAt = node.clock();
   for (const sessions of kept) applyKeptSessions(node, sessions);
 }
 
@@ -311,9 +319,9 @@
   };
   if (isHolder(node))
     return applyAdvice(node, answerConsultation(node, consultation));
-  const address = node.members.get(
-    node.holderState.holder?.node ?? '',
-  )?.address;
+  const name = node.holderState.holder?.node ?? '';
+  if (name === node.settings.node) return;
+  const address = node.members.get(name)?.address;
   const {client} = node.peers;
   if (!address || !client) return;
   const advice = await callPeer(
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -1,4 +1,5 @@
 /** Chooses between the old and the new version of a service in a roll-out. */
+import {outOfTouchMs} from '@parsleyarch/policy/load-sharing';
 import {
   isHashInShare,
   Phase,
@@ -121,7 +122,7 @@
 ): Side {
   const known = findKnownSide(node, `${order.service}/${session}`);
   if (known === Side.fresh) return Side.fresh;
-  if (!isInShare(plan, session)) return Side.old;
+  if (!isInShare(plan, session) || isOutOfTouch(node)) return Side.old;
   if (plan.phase !== Phase.canary) return Side.fresh;
   // During the canary, only sessions that begin now use the new version;
   // those known on the old version stay there.
@@ -130,6 +131,10 @@
   return isSessionKept(node, order.revision, session) ? Side.old : Side.fresh;
 }
 
+function isOutOfTouch({clock, holderState, members}: EntryNode): boolean {
+  return clock() - holderState.advisedAt > outOfTouchMs(members.size);
+}
+
 /** Whether the hash bucket of a session is within the plan's share. */
 function isInShare({target, share}: RolloutPlan, session: string): boolean {
   const hash = createHash('sha256').update(`${target}/${session}`);
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -1,5 +1,6 @@
 import {createSeal, type Script} from '@parsleyarch/standins/runner';
 import {startRunner} from '@parsleyarch/standins/runner';
+import {StoreBehavior} from '@parsleyarch/standins/keyspace';
 import test, {type ExecutionContext} from 'ava';
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import {isShareReady} from '@parsleyarch/router/entry/kept-sessions';
@@ -23,6 +24,7 @@
 async function startRollout(
   t: ExecutionContext,
   script?: Script,
+  durationSeconds = DURATION_S,
 ): Promise<Site> {
   const site = await startSite(2);
   t.teardown(() => closeSite(site));
@@ -37,7 +39,7 @@
   site.store.put('op/rollout/api', {
     service: 'api',
     target: 'v2',
-    duration_s: DURATION_S,
+    duration_s: durationSeconds,
   });
   for (const runner of site.runners.slice(2)) runner.register();
   return site;
@@ -150,6 +152,54 @@
   t.is(exposed(), before);
 });
 
+test('a node that does not hear from the holder sends no new session to the new version', async t => {
+  const site = await startRollout(t, undefined, 30);
+  const phase = ({node}: Entry) => node.versions.plans.get('api')?.plan.phase;
+  await until(() => site.entries.every(entry => phase(entry) === 'canary'));
+  const isHolder = ({node}: Entry) => node.holderState.lease !== undefined;
+  const holder = site.entries.find(isHolder)!;
+  const other = site.entries.find(entry => entry !== holder)!;
+  const freshRunners = site.runners.slice(2);
+  const exposed = () =>
+    freshRunners.reduce((sum, {requests}) => sum + requests.length, 0);
+  const sendSessions = async (name: string) => {
+    for (let sent = 0; sent < 100; sent += 1)
+      await call(other, {headers: {session: `${name}-${sent}`}});
+  };
+  const order = other.node.orders.get('api')!;
+  await until(() => isShareReady(other.node, order));
+  await sendSessions('before');
+  t.true(exposed() > 0);
+  // The holder keeps its lease but does not answer, and the plan stays.
+  const {name} = other.node.members.get(holder.node.settings.node)!;
+  const member = other.node.members.get(name)!;
+  other.node.members.set(name, {...member, address: '127.0.0.1:9'});
+  holder.node.settings.rollout.exposeShare = 0;
+  const {sequence} = other.node.versions.plans.get('api')!.plan;
+  await new Promise(resolve => setTimeout(resolve, 3_500));
+  const before = exposed();
+  await sendSessions('after');
+  t.is(phase(other), 'canary');
+  t.is(other.node.versions.plans.get('api')!.plan.sequence, sequence);
+  t.is(exposed(), before);
+});
+
+test('a holder whose lease cannot be renewed answers no reports', async t => {
+  const site = await startRollout(t);
+  const isHolder = ({node}: Entry) => node.holderState.lease !== undefined;
+  await until(() => site.entries.some(isHolder));
+  const holder = site.entries.find(isHolder)!;
+  const other = site.entries.find(entry => entry !== holder)!;
+  const advisedAt = () => other.node.holderState.advisedAt;
+  await until(() => advisedAt() > 0);
+  site.store.behavior = StoreBehavior.unresponsive;
+  await new Promise(resolve => setTimeout(resolve, 3_500));
+  const last = advisedAt();
+  await new Promise(resolve => setTimeout(resolve, 1_000));
+  t.is(advisedAt(), last);
+  site.store.behavior = StoreBehavior.normal;
+});
+
 test('another node becomes the holder after the holder has stopped', async t => {
   const site = await startRollout(t);
   await until(() =>
--- a/packages/policy/src/load-sharing.ts
+++ b/packages/policy/src/load-sharing.ts
@@ -50,6 +50,22 @@
   );
 }
 
+/** Missed reports after which a node counts as out of touch with the holder. */
+const MISSED_REPORTS = 3;
+/** Shortest time for that, milliseconds; a new holder is found within it. */
+const MIN_OUT_OF_TOUCH_MS = 3_000;
+
+/**
+ * Time without an answer of the holder after which a node assigns no new sessions
+ * to a version that is being rolled out: its counts may not reach a decision.
+ */
+export function outOfTouchMs(nodeCount: number): number {
+  return Math.max(
+    MIN_OUT_OF_TOUCH_MS,
+    consultIntervalMs(nodeCount) * MISSED_REPORTS,
+  );
+}
+
 /** Time between two reports on roll-outs to their holder, milliseconds. */
 export function consultIntervalMs(nodeCount: number): number {
   return clamp(
