Read the monotonic and the wall clock at the same time

Cause: the two clocks were read one after the other. A process that was preempted for more than 20 ms between the readings took that as time in which the machine was suspended, and kept it. Under load a node's clock ran ahead for good, so its confirmations looked older than they were and two nodes disagreed (the red test of a relayed confirmation's age).

Change: both are read again if the monotonic clock advanced by 5 ms between the readings, up to four times; the last reading counts as it is.

Result: a test in which every other reading is preempted gains no time; it fails if the clocks are read once. A suspension still counts if all are preempted.

--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -14,6 +14,7 @@
 import type {PeerClient} from '@parsleyarch/peer/client';
 import {
   createContinuousClock,
+  readBothClocks,
   readContinuousClock,
 } from '@parsleyarch/protocol/continuous-clock';
 import type {RouteIndex} from '@parsleyarch/policy/routes';
@@ -201,8 +202,13 @@
     restoredAt: -Infinity,
     onConfiguration: () => {},
     onPeerKey: () => {},
-    continuousClock: () =>
-      readContinuousClock(elapsed, performance.now(), Date.now()),
+    continuousClock: () => {
+      const {monotonicMs, wallMs} = readBothClocks(
+        () => performance.now(),
+        Date.now,
+      );
+      return readContinuousClock(elapsed, monotonicMs, wallMs);
+    },
     serving: false,
     stopping: false,
     refusing: false,
--- a/packages/protocol/src/continuous-clock.ts
+++ b/packages/protocol/src/continuous-clock.ts
@@ -41,3 +41,25 @@
   clock.wallMs = wallMs;
   return monotonicMs + clock.missedMs;
 }
+
+/** Time between two readings of the monotonic clock that counts as none. */
+const SIMULTANEOUS_MS = 5;
+const MAX_READ_ATTEMPTS = 4;
+
+/**
+ * Reads both clocks at nearly the same time. If the process is preempted between
+ * the readings, the wall clock seems to have advanced further, and each such
+ * reading would add to the time that counts as missed.
+ */
+export function readBothClocks(
+  monotonic: () => number,
+  wall: () => number,
+): {monotonicMs: number; wallMs: number} {
+  for (let attempt = 1; ; attempt += 1) {
+    const monotonicMs = monotonic();
+    const wallMs = wall();
+    const isSimultaneous = monotonic() - monotonicMs < SIMULTANEOUS_MS;
+    if (isSimultaneous || attempt === MAX_READ_ATTEMPTS)
+      return {monotonicMs, wallMs};
+  }
+}
--- a/packages/protocol/test/continuous-clock.test.ts
+++ b/packages/protocol/test/continuous-clock.test.ts
@@ -1,5 +1,6 @@
 import {
   createContinuousClock,
+  readBothClocks,
   readContinuousClock,
 } from '@parsleyarch/protocol/continuous-clock';
 import test from 'ava';
@@ -46,3 +47,39 @@
   );
   t.pass();
 });
+
+test('preemption between the readings of the two clocks adds no time', t => {
+  let now = 0;
+  let reads = 0;
+  const wall = () => {
+    reads += 1;
+    // Every other reading of the wall clock comes 40 ms late.
+    if (reads % 2 === 1) now += 40;
+    return now;
+  };
+  const monotonic = () => now;
+  const clock = createContinuousClock(0, 0);
+  for (let read = 0; read < 100; read += 1) {
+    now += 10;
+    const {monotonicMs, wallMs} = readBothClocks(monotonic, wall);
+    readContinuousClock(clock, monotonicMs, wallMs);
+  }
+  t.is(clock.missedMs, 0);
+});
+
+test('a suspension is counted, also if the process is always preempted', t => {
+  let monotonicNow = 0;
+  let suspendedMs = 0;
+  const wall = () => {
+    monotonicNow += 40;
+    return monotonicNow + suspendedMs;
+  };
+  const clock = createContinuousClock(0, 0);
+  const read = () => {
+    const {monotonicMs, wallMs} = readBothClocks(() => monotonicNow, wall);
+    return readContinuousClock(clock, monotonicMs, wallMs);
+  };
+  read();
+  suspendedMs = 3_000;
+  t.true(read() >= 3_000);
+});
