Tell other nodes of upstreams that say they are leaving

Cause: each node learned of a leaving upstream only from an answer of its own, so at most nodes requests went there until its entry changed.

Change: reports and sums of load carry the leaving incarnations that the sender knows and that are still registered.

--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -22,6 +22,7 @@
 import {reportConfirmation} from './feed.js';
 import {applyConfirmation, leaveSource} from './follow.js';
 import type {EntryNode, UpstreamState} from './node.js';
+import {listLeaving, recordLeaving} from './notices.js';
 
 const SHARE_TIMEOUT_MS = 300;
 /** Age above which reported load is ignored, milliseconds. */
@@ -88,15 +89,20 @@
 /** Answers a report: keeps it, and returns the load that its sender lacks. */
 export function collectLoad(
   node: EntryNode,
-  {node: name, loads, isGroup}: LoadReport,
+  {node: name, loads, isGroup, leaving}: LoadReport,
 ): LoadSummary {
+  recordLeaving(node, leaving);
   const {reports, groups} = node.load;
   const report = {at: node.clock(), loads};
   if (!isGroup) reports.set(name, report);
   else groups.set(name, report);
   // Another collector lacks only this group; a node lacks all but its own load.
   const sums = isGroup ? sumGroup(node) : sumOthers(node, name);
-  return {loads: sums, ...reportConfirmation(node)};
+  return {
+    loads: sums,
+    leaving: listLeaving(node),
+    ...reportConfirmation(node),
+  };
 }
 
 function dropOldReports(node: EntryNode): void {
@@ -167,6 +173,7 @@
   );
   if (summary.isOk()) {
     applyConfirmation(node, summary.value, sentAt);
+    recordLeaving(node, summary.value.leaving);
     return summary.value;
   }
   node.load.skipped.set(collector, node.clock() + COLLECTOR_SKIP_MS);
@@ -187,6 +194,7 @@
     node: node.settings.node,
     loads: sumGroup(node),
     isGroup: true,
+    leaving: listLeaving(node),
   };
   const summary = await sendReport(node, collector, report);
   if (!summary) return;
@@ -222,7 +230,8 @@
   const collector = collectors.find(other => !isSkipped(node, other));
   if (collector === undefined) return;
   const loads = listLocalLoads(node);
-  const report = {node: name, loads, isGroup: false};
+  const leaving = listLeaving(node);
+  const report = {node: name, loads, isGroup: false, leaving};
   const summary = await sendReport(node, collector, report);
   if (summary) applySums(node, summary.loads);
 }
--- a/apps/router/src/entry/notices.ts
+++ b/apps/router/src/entry/notices.ts
@@ -4,6 +4,7 @@
  * incarnation of an upstream and outlives its entry in the store, which may
  * expire and return.
  */
+import type {LeavingUpstream} from '@parsleyarch/peer/messages';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import type {EntryNode} from './node.js';
@@ -56,6 +57,46 @@
   return 0;
 }
 
+function keepNotice(
+  {notices}: EntryNode,
+  id: string,
+  notice: UpstreamNotice,
+): void {
+  notices.delete(id);
+  notices.set(id, notice);
+  for (const oldest of notices.keys()) {
+    if (notices.size <= MAX_NOTICE_COUNT) break;
+    notices.delete(oldest);
+  }
+}
+
+/** Registered upstreams that are leaving, for other nodes. */
+export function listLeaving(node: EntryNode): LeavingUpstream[] {
+  const leaving: LeavingUpstream[] = [];
+  for (const [upstream, {incarnation}] of node.notices) {
+    const registered = node.upstreams.get(upstream)?.registered;
+    if (registered?.incarnation === incarnation && isLeaving(node, registered))
+      leaving.push({upstream, incarnation});
+  }
+  return leaving;
+}
+
+/** Records upstreams that other nodes know to be leaving. */
+export function recordLeaving(
+  node: EntryNode,
+  leaving: readonly LeavingUpstream[],
+): void {
+  for (const {upstream: id, incarnation} of leaving) {
+    const known = node.notices.get(id);
+    if (known?.incarnation === incarnation && known.leaving) continue;
+    // A relayed notice may be of an incarnation that has ended.
+    if (known && known.incarnation > incarnation) continue;
+    const pausedUntil = -Infinity;
+    keepNotice(node, id, {incarnation, leaving: true, pausedUntil});
+    node.log.info({upstream: id}, 'upstream is leaving, as another node says');
+  }
+}
+
 /** Records what an answer says of the upstream that sent it. */
 export function recordNotice(
   node: EntryNode,
@@ -64,22 +105,16 @@
 ): void {
   const pauseMs = readPauseMs(node, upstream, answer);
   if (!answer.leaving && pauseMs === 0) return;
-  const {id, incarnation} = upstream;
   const known = findNotice(node, upstream);
-  const notice = {
-    incarnation,
+  keepNotice(node, upstream.id, {
+    incarnation: upstream.incarnation,
     leaving: answer.leaving || (known?.leaving ?? false),
     pausedUntil: Math.max(
       known?.pausedUntil ?? -Infinity,
       node.clock() + pauseMs,
     ),
-  };
-  node.notices.delete(id);
-  node.notices.set(id, notice);
-  for (const oldest of node.notices.keys()) {
-    if (node.notices.size <= MAX_NOTICE_COUNT) break;
-    node.notices.delete(oldest);
-  }
+  });
+  const {id} = upstream;
   if (answer.leaving && !known?.leaving) {
     node.metrics.notices.inc({kind: 'leaving'});
     node.log.info({upstream: id}, 'upstream is leaving, as its answer says');
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -31,27 +31,55 @@
 
 test('a node gets the sum over all other nodes, also over those of other groups', async t => {
   const [first, second] = await createNodes(t, 2);
-  collectLoad(first, {node: 'a', loads: loadOf(1), isGroup: false});
-  collectLoad(first, {node: 'b', loads: loadOf(2), isGroup: false});
-  collectLoad(second, {node: 'c', loads: loadOf(4), isGroup: false});
-  collectLoad(second, {node: 'd', loads: loadOf(8), isGroup: false});
+  collectLoad(first, {
+    node: 'a',
+    loads: loadOf(1),
+    isGroup: false,
+    leaving: [],
+  });
+  collectLoad(first, {
+    node: 'b',
+    loads: loadOf(2),
+    isGroup: false,
+    leaving: [],
+  });
+  collectLoad(second, {
+    node: 'c',
+    loads: loadOf(4),
+    isGroup: false,
+    leaving: [],
+  });
+  collectLoad(second, {
+    node: 'd',
+    loads: loadOf(8),
+    isGroup: false,
+    leaving: [],
+  });
   const [ofSecond] = collectLoad(second, {
     node: 'node-0',
     loads: loadOf(3),
     isGroup: true,
+    leaving: [],
   }).loads;
   t.like(ofSecond, {pending: 12, streaming: 2});
-  collectLoad(first, {node: 'node-1', loads: [ofSecond], isGroup: true});
+  collectLoad(first, {
+    node: 'node-1',
+    loads: [ofSecond],
+    isGroup: true,
+    leaving: [],
+  });
   const [forA] = collectLoad(first, {
     node: 'a',
     loads: loadOf(1),
     isGroup: false,
+    leaving: [],
   }).loads;
   t.like(forA, {pending: 14, streaming: 3});
   const [forC] = collectLoad(second, {
     node: 'c',
     loads: loadOf(4),
     isGroup: false,
+    leaving: [],
   }).loads;
   t.like(forC, {pending: 11, streaming: 2});
 });
--- a/apps/router/test/entry/notices.test.ts
+++ b/apps/router/test/entry/notices.test.ts
@@ -53,6 +53,28 @@
   });
 });
 
+test('a node learns from another one that an upstream is leaving', async t => {
+  const {site, entry} = await start(t, 2);
+  const other = await startNode(site);
+  const [leaving] = site.runners;
+  leaving.script = answerWith(200, {'Server-Leaving': '1'});
+  await until(() => {
+    void call(entry);
+    return leaving.requests.length > 0;
+  });
+  await until(() => other.node.notices.get(leaving.id)?.leaving === true);
+  const before = leaving.requests.length;
+  for (let sent = 0; sent < 20; sent += 1)
+    t.is((await call(other)).status, 200);
+  t.is(leaving.requests.length, before);
+  leaving.script = undefined;
+  leaving.register({born: 2});
+  await until(() => {
+    void call(other);
+    return leaving.requests.length > before;
+  });
+});
+
 test('a request is refused at once if the only upstream is leaving', async t => {
   const {site, entry} = await start(t, 1);
   site.runners[0].script = answerWith(200, {'Server-Leaving': '1'});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -154,12 +154,19 @@
   /** Requests whose responses are being streamed to the caller. */
   readonly streaming: number;
 }
+/** An upstream that said in an answer that it is shutting down. */
+export interface LeavingUpstream {
+  readonly upstream: string;
+  readonly incarnation: number;
+}
 /** The load that one node, or the nodes of its group, placed on each upstream. */
 export interface LoadReport {
   readonly node: string;
   readonly loads: readonly UpstreamLoad[];
   /** Whether the load is the sum over the nodes that report to the sender. */
   readonly isGroup: boolean;
+  /** Upstreams that are leaving, as far as the sender knows. */
+  readonly leaving: readonly LeavingUpstream[];
 }
 /** How current a node's knowledge of the store is. */
 export interface Confirmation {
@@ -175,6 +182,8 @@
 }
 /** Load per upstream, summed over the nodes whose load the reporter lacks. */
 export interface LoadSummary extends Confirmation {
+  /** Upstreams that are leaving, as far as the collector knows. */
+  readonly leaving: readonly LeavingUpstream[];
   readonly loads: readonly UpstreamLoad[];
 }
 /** Requests the store's changes after a revision. */
