Compare a few random engines where the load is old

Cause: at 195 nodes the shared load is some hundred milliseconds old, and all nodes sent the requests of that time to the same least loaded engines.

Change: above 20 nodes a request compares the engines that are expected to have its shared part, two of its own failure domain and three of all, without those that failed recently; all of them if none of these can take it. The selection is split into functions of one step each.

--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -6,6 +6,8 @@
   type CostPenalties,
   type UpstreamCandidate,
 } from '@parsleyarch/policy/upstream-choice';
+import {sampleCandidates} from '@parsleyarch/policy/candidate-sample';
+import {hasGroups} from '@parsleyarch/policy/load-sharing';
 import {expectCached} from '@parsleyarch/policy/prompt-affinity';
 import {hashName, rankMember} from '@parsleyarch/policy/rendezvous';
 import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
@@ -57,6 +59,9 @@
   return earliest === Infinity ? undefined : earliest - node.clock();
 }
 
+/** Number of usable upstreams above which some are compared, and not all. */
+const MIN_SAMPLED_COUNT = 8;
+
 /** Work at the least loaded upstream that halves the cross-domain penalty. */
 const DOMAIN_PENALTY_HALVING_WORK = 4;
 
@@ -188,56 +193,94 @@
   return leastWork === Infinity ? 0 : leastWork;
 }
 
-/** Returns `undefined` if no upstream may or can accept the request. */
-export function selectUpstream(
+/** What the candidates of one request have in common. */
+interface Comparison {
+  readonly service?: PooledService;
+  /** Cache keys of the prompt segments. */
+  readonly keys: readonly string[];
+  readonly sharedTokens: number;
+  /** Upstreams at which the shared part is expected, with its probability. */
+  readonly cachedChances: ReadonlyMap<UpstreamState, number>;
+  readonly relativeTokenTime: number;
+}
+
+function createComparison(
   node: EntryNode,
   exchange: Exchange,
-  model = '',
-): Selection | undefined {
+  model: string,
+  usable: readonly UpstreamState[],
+): Comparison {
   const service = node.routes?.table.services.get(exchange.service);
   const keys = promptSegmentKeys(model, exchange.caller.promptSegments);
+  const sharedTokens = countSharedTokens(exchange);
+  return {
+    service,
+    keys,
+    sharedTokens,
+    cachedChances:
+      sharedTokens > 0
+        ? expectCached(hashName(keys.at(-2) ?? ''), usable)
+        : new Map(),
+    relativeTokenTime: relativeTimeOf(service, exchange, model),
+  };
+}
+
+function createCandidate(
+  node: EntryNode,
+  exchange: Exchange,
+  state: UpstreamState,
+  comparison: Comparison,
+): UpstreamCandidate {
+  const {service, keys, sharedTokens, cachedChances, relativeTokenTime} =
+    comparison;
   const now = node.clock();
-  const relativeTokenTime = relativeTimeOf(service, exchange, model);
-  const usable = [...node.upstreams.values()].filter(
-    state => !findExclusion(node, exchange, state),
+  dropExpired(state.failures, now - FAILURE_WINDOW_MS);
+  const cachedTokens = Math.max(
+    countCachedTokens(node, state, exchange, keys),
+    sharedTokens * (cachedChances.get(state) ?? 0),
   );
-  const sharedTokens = countSharedTokens(exchange);
-  const cachedChances =
-    sharedTokens > 0
-      ? expectCached(hashName(keys.at(-2) ?? ''), usable)
-      : undefined;
-  const candidates: UpstreamCandidate[] = [];
-  for (const state of usable) {
-    dropExpired(state.failures, now - FAILURE_WINDOW_MS);
-    const cachedTokens = Math.max(
-      countCachedTokens(node, state, exchange, keys),
-      sharedTokens * (cachedChances?.get(state) ?? 0),
-    );
-    const uncachedTokens = Math.max(
-      0,
-      exchange.caller.promptTokens - cachedTokens,
-    );
-    candidates.push({
-      id: state.registered.id,
-      sameDomain:
-        state.registered.failureDomain === node.settings.failureDomain,
-      presentWork: workAt(node, state),
-      addedWork: prefillWork(uncachedTokens, relativeTokenTime),
-      failures: state.failures.length,
-      down: now < state.backoffUntil,
-      coldFull: isColdLimitReached(node, service, state),
-    });
-  }
-  const basePenalties = service?.isEngine
-    ? ENGINE_PENALTIES
-    : SERVICE_PENALTIES;
+  const uncachedTokens = exchange.caller.promptTokens - cachedTokens;
+  return {
+    id: state.registered.id,
+    sameDomain: isInOwnDomain(node, state),
+    presentWork: workAt(node, state),
+    addedWork: prefillWork(Math.max(0, uncachedTokens), relativeTokenTime),
+    failures: state.failures.length,
+    down: now < state.backoffUntil,
+    coldFull: isColdLimitReached(node, service, state),
+  };
+}
+
+function isInOwnDomain({settings}: EntryNode, {registered}: UpstreamState) {
+  return registered.failureDomain === settings.failureDomain;
+}
+
+function computePenalties(
+  exchange: Exchange,
+  service: PooledService | undefined,
+  candidates: readonly UpstreamCandidate[],
+): CostPenalties {
+  const penalties = service?.isEngine ? ENGINE_PENALTIES : SERVICE_PENALTIES;
   const transferWork =
     (exchange.body.length / BYTES_PER_KB) * CROSS_DOMAIN_WORK_PER_KB;
   const leastWork = Math.min(...candidates.map(({presentWork}) => presentWork));
   const otherDomain =
-    (basePenalties.otherDomain + transferWork) /
+    (penalties.otherDomain + transferWork) /
     (1 + leastWork / DOMAIN_PENALTY_HALVING_WORK);
-  const penalties = {...basePenalties, otherDomain};
+  return {...penalties, otherDomain};
+}
+
+function chooseAmong(
+  node: EntryNode,
+  exchange: Exchange,
+  model: string,
+  compared: readonly UpstreamState[],
+  comparison: Comparison,
+): Selection | undefined {
+  const candidates = compared.map(state =>
+    createCandidate(node, exchange, state, comparison),
+  );
+  const penalties = computePenalties(exchange, comparison.service, candidates);
   const choice = chooseCandidate(candidates, penalties, node.random);
   const chosen = candidates.find(({id}) => id === choice?.id);
   node.logDecision('select', {
@@ -258,6 +301,42 @@
   };
 }
 
+/** The upstreams to compare first, without those that failed recently. */
+function sampleUsable(
+  node: EntryNode,
+  usable: readonly UpstreamState[],
+  {cachedChances}: Comparison,
+): UpstreamState[] {
+  const now = node.clock();
+  const sound = (state: UpstreamState) =>
+    now >= state.backoffUntil && state.failures.length === 0;
+  return sampleCandidates(
+    usable.filter(sound),
+    state => isInOwnDomain(node, state),
+    [...cachedChances.keys()].filter(sound),
+    node.random,
+  );
+}
+
+/** Returns `undefined` if no upstream may or can accept the request. */
+export function selectUpstream(
+  node: EntryNode,
+  exchange: Exchange,
+  model = '',
+): Selection | undefined {
+  const usable = [...node.upstreams.values()].filter(
+    state => !findExclusion(node, exchange, state),
+  );
+  const comparison = createComparison(node, exchange, model, usable);
+  // Only the load that groups exchange is old enough to mislead.
+  if (hasGroups(node.members.size) && usable.length > MIN_SAMPLED_COUNT) {
+    const sample = sampleUsable(node, usable, comparison);
+    const selection = chooseAmong(node, exchange, model, sample, comparison);
+    if (selection) return selection;
+  }
+  return chooseAmong(node, exchange, model, usable, comparison);
+}
+
 /** Time for which sends are remembered for the cold limit. */
 const SEND_HISTORY_MS = 10_000;
 const MAX_CACHED_SEGMENT_COUNT = 2_000;
