Split the choice of an upstream into four files

Change: exclusions.ts, prompt-cache.ts and upstream-records.ts hold what their names say; selection.ts is the choice. Nothing but the place of the code changed.

--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -1,41 +1,28 @@
 /** Chooses the upstream for the next send of a request. */
-import type {PromptSegment} from '@parsleyarch/platform/headers';
 import {
   chooseCandidate,
-  limitColdSends,
   type CostPenalties,
   type UpstreamCandidate,
 } from '@parsleyarch/policy/upstream-choice';
 import {sampleCandidates} from '@parsleyarch/policy/candidate-sample';
 import {hasGroups} from '@parsleyarch/policy/load-sharing';
 import {expectCached} from '@parsleyarch/policy/prompt-affinity';
-import {hashName, rankMember} from '@parsleyarch/policy/rendezvous';
+import {hashName} from '@parsleyarch/policy/rendezvous';
 import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
 import type {PooledService} from '@parsleyarch/resource/routing';
 import type {Exchange} from './exchange.js';
+import {findExclusion} from './exclusions.js';
 import {workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
-import {isLeaving, pausedUntil} from './notices.js';
-import {allowsVersion} from './versions.js';
+import {
+  countCachedTokens,
+  countSharedTokens,
+  promptSegmentKeys,
+} from './prompt-cache.js';
+import {dropExpired, isColdLimitReached} from './upstream-records.js';
 
 /** Time for which a failure adds to the cost of an upstream. */
 const FAILURE_WINDOW_MS = 4_000;
-/** Bounds of the exponential backoff after failed connections. */
-const MIN_CONNECT_BACKOFF_MS = 500;
-const MAX_CONNECT_BACKOFF_MS = 2_000;
-/** Time for which an upstream is assumed to cache a prompt segment. */
-const PROMPT_CACHE_TTL_MS = 10_000;
-/**
- * Fraction of the cold limit that is used. The rest is left for nodes that this
- * one does not know yet.
- */
-const COLD_LIMIT_RATIO = 0.8;
-/**
- * The limit is per second; the additional time allows for sends that arrive
- * closer together than they left.
- */
-const COLD_WINDOW_MS = 1_100;
-
 const ENGINE_PENALTIES: CostPenalties = {otherDomain: 1, failure: 8, jitter: 1};
 const SERVICE_PENALTIES: CostPenalties = {
   otherDomain: 0.5,
@@ -43,22 +30,6 @@
   jitter: 0.3,
 };
 
-/**
- * Time until an upstream that wants no requests now may be used again,
- * milliseconds; `undefined` if another reason excludes all upstreams.
- */
-export function findPauseMs(
-  node: EntryNode,
-  exchange: Exchange,
-): number | undefined {
-  let earliest = Infinity;
-  for (const state of node.upstreams.values()) {
-    if (findExclusion(node, exchange, state) !== PAUSED) continue;
-    earliest = Math.min(earliest, pausedUntil(node, state.registered));
-  }
-  return earliest === Infinity ? undefined : earliest - node.clock();
-}
-
 /** Number of usable upstreams above which some are compared, and not all. */
 const MIN_SAMPLED_COUNT = 8;
 
@@ -69,86 +40,6 @@
 /** Penalty for each kilobyte sent to another domain, in units of work. */
 const CROSS_DOMAIN_WORK_PER_KB = 0.15;
 
-function dropExpired(times: number[], oldest: number): void {
-  while (times.length > 0 && times[0] < oldest) times.shift();
-}
-
-function isColdLimitReached(
-  node: EntryNode,
-  service: PooledService | undefined,
-  state: UpstreamState,
-): boolean {
-  const now = node.clock();
-  if (!service || service.coldPerSecond === 0 || now >= state.coldUntil)
-    return false;
-  const {over, slack} = node.settings.cold;
-  const limitPerSecond =
-    (service.coldPerSecond * over + slack) * COLD_LIMIT_RATIO;
-  const rank = rankMember(state.digest, node, node.members.values());
-  const sendLimit = limitColdSends(limitPerSecond, node.peakMemberCount, rank);
-  let recent = 0;
-  for (const at of state.sends) {
-    if (at > now - COLD_WINDOW_MS) recent += 1;
-  }
-  return recent >= sendLimit;
-}
-
-/**
- * Cache keys of prompt segments. Each includes the model and all preceding
- * segments, as an upstream caches a segment only together with these.
- */
-function promptSegmentKeys(
-  model: string,
-  segments: readonly PromptSegment[],
-): string[] {
-  const keys: string[] = [];
-  let key = model;
-  for (const {id} of segments) keys.push((key = `${key}/${id}`));
-  return keys;
-}
-
-/** Tokens of a prompt that an upstream caches, by the sends of this node. */
-function countCachedTokens(
-  node: EntryNode,
-  state: UpstreamState,
-  exchange: Exchange,
-  keys: readonly string[],
-): number {
-  const {promptSegments: segments} = exchange.caller;
-  const oldest = node.clock() - PROMPT_CACHE_TTL_MS;
-  let cached = 0;
-  for (const [index, key] of keys.entries()) {
-    if ((state.promptSegmentSentAt.get(key) ?? -Infinity) < oldest) break;
-    cached += segments[index].tokens;
-  }
-  return cached;
-}
-
-/** The part of a prompt that other requests share: all segments but the last. */
-function countSharedTokens({caller}: Exchange): number {
-  let shared = 0;
-  for (const {tokens} of caller.promptSegments.slice(0, -1)) shared += tokens;
-  return shared;
-}
-
-const PAUSED = 'paused';
-
-/** Returns why a request cannot use an upstream, or `undefined` if it can. */
-function findExclusion(
-  node: EntryNode,
-  exchange: Exchange,
-  state: UpstreamState,
-): string | undefined {
-  const {registered} = state;
-  if (registered.service !== exchange.service) return 'other service';
-  if (registered.draining || isLeaving(node, registered)) return 'draining';
-  if (pausedUntil(node, registered) > node.clock()) return PAUSED;
-  if (node.evacuated.has(registered.failureDomain)) return 'domain out';
-  if (exchange.triedUpstreams.has(registered.id)) return 'tried';
-  if (!allowsVersion(node, exchange, registered.version)) return 'version';
-  return undefined;
-}
-
 /** The chosen upstream, with work in the unit of policy/work.ts. */
 export interface Selection {
   readonly upstream: UpstreamState;
@@ -171,28 +62,6 @@
     : relativeTime(cost / largest);
 }
 
-/** Whether a usable upstream is left to which the request was not sent. */
-export function hasUntriedUpstream(
-  node: EntryNode,
-  exchange: Exchange,
-): boolean {
-  for (const state of node.upstreams.values()) {
-    if (!findExclusion(node, exchange, state)) return true;
-  }
-  return false;
-}
-
-/** Work at the least loaded upstream that the request may use, tried or not. */
-export function findLeastWork(node: EntryNode, exchange: Exchange): number {
-  let leastWork = Infinity;
-  for (const state of node.upstreams.values()) {
-    const exclusion = findExclusion(node, exchange, state);
-    if (exclusion && exclusion !== 'tried') continue;
-    leastWork = Math.min(leastWork, workAt(node, state));
-  }
-  return leastWork === Infinity ? 0 : leastWork;
-}
-
 /** What the candidates of one request have in common. */
 interface Comparison {
   readonly service?: PooledService;
@@ -336,51 +205,3 @@
   }
   return chooseAmong(node, exchange, model, usable, comparison);
 }
-
-/** Time for which sends are remembered for the cold limit. */
-const SEND_HISTORY_MS = 10_000;
-const MAX_CACHED_SEGMENT_COUNT = 2_000;
-
-/** Records a send for the cold limit, the load and the prompt cache. */
-export function recordSend(
-  node: EntryNode,
-  state: UpstreamState,
-  exchange: Exchange,
-  model = '',
-): void {
-  const now = node.clock();
-  dropExpired(state.sends, now - SEND_HISTORY_MS);
-  state.sends.push(now);
-  state.sentSinceReport += 1;
-  for (const key of promptSegmentKeys(model, exchange.caller.promptSegments)) {
-    // Re-insertion keeps the map in order of use, so the oldest are evicted first.
-    state.promptSegmentSentAt.delete(key);
-    state.promptSegmentSentAt.set(key, now);
-  }
-  for (const key of state.promptSegmentSentAt.keys()) {
-    if (state.promptSegmentSentAt.size <= MAX_CACHED_SEGMENT_COUNT) break;
-    state.promptSegmentSentAt.delete(key);
-  }
-}
-
-/**
- * Starts a backoff after a failed connection to an upstream. An answer resets the
- * length of the next one.
- */
-export function recordReachability(
-  node: EntryNode,
-  state: UpstreamState,
-  outcome: 'unsent' | 'refused' | 'lost' | 'answer',
-): void {
-  if (outcome === 'answer' || outcome === 'refused') state.backoffMs = 0;
-  if (outcome !== 'unsent') return;
-  state.backoffMs = Math.min(
-    MAX_CONNECT_BACKOFF_MS,
-    Math.max(MIN_CONNECT_BACKOFF_MS, state.backoffMs * 2),
-  );
-  state.backoffUntil = node.clock() + state.backoffMs;
-}
-
-export function recordFailure(node: EntryNode, state: UpstreamState): void {
-  state.failures.push(node.clock());
-}
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -1,16 +1,16 @@
 /** Starts sends, awaits their outcomes and records them. */
 import {startAttempt, type Attempt, type Outcome} from './attempt.js';
+import {hasUntriedUpstream} from './exclusions.js';
 import {isRepeatable, isStream, priorityOf, type Exchange} from './exchange.js';
 import {recordModelTime} from './models.js';
 import type {EntryNode} from './node.js';
 import {recordNotice} from './notices.js';
+import type {Selection} from './selection.js';
 import {
-  hasUntriedUpstream,
   recordFailure,
   recordReachability,
   recordSend,
-  type Selection,
-} from './selection.js';
+} from './upstream-records.js';
 import {recordVersionOutcome} from './version-tallies.js';
 
 /**
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -12,7 +12,8 @@
 } from './relay.js';
 import {recordAnswer} from './reply.js';
 import {mayRetry, reserveSend} from './retries.js';
-import {hasUntriedUpstream, selectUpstream} from './selection.js';
+import {hasUntriedUpstream} from './exclusions.js';
+import {selectUpstream} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
 
 /** Whether a stream that makes no events may go on at another upstream. */
