Let a holder wait before it yields to a node with a later plan

Cause, found by reading: the change of a plan may reach other nodes before it reaches the holder that wrote it. Their reports then made the holder give up its lease, also without any restoration of the store.

Change: a holder does not act while a report is ahead of the plan that it knows, and gives up the lease only if it learned that plan two seconds ago or more.

Result: a test in which the other node acts on a later plan: the holder writes nothing, yields, and the other one writes its plan back.

--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -48,6 +48,8 @@
 const CONSULT_TIMEOUT_MS = 800;
 /** Time in which a new holder receives reports from all nodes. */
 const FIRST_REPORTS_MS = 1_000;
+/** Time in which a holder receives a plan that other nodes already follow. */
+const PLAN_DELAY_MS = 2_000;
 /** Time for which a node that knows less than others leaves the lease to them. */
 const YIELD_MS = 5_000;
 const HOLDER_KEY = `${STORE_KEY.router}holder`;
@@ -274,6 +276,9 @@
   // After a restoration, nodes may act on plans that the store has lost.
   if (!plan && feed.era > 0 && heldMs < FIRST_REPORTS_MS) return;
   if (isBehind(node, order)) {
+    // The change of a plan may reach other nodes before it reaches this one.
+    const seenAt = node.versions.plans.get(order.service)?.seenAt ?? -Infinity;
+    if (node.clock() - seenAt < PLAN_DELAY_MS) return;
     holderState.yieldedUntil = node.clock() + YIELD_MS;
     node.log.warn({service: order.service}, 'another node knows a later plan');
     return releaseHolderLease(node);
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -200,6 +200,34 @@
   site.store.behavior = StoreBehavior.normal;
 });
 
+test('a holder that knows an earlier plan than others waits, then leaves the lease', async t => {
+  const site = await startRollout(t, undefined, 30);
+  const plans = ({node}: Entry) => node.versions.plans.get('api')?.plan;
+  const isCanary = (entry: Entry) => plans(entry)?.phase === 'canary';
+  await until(() => site.entries.every(isCanary));
+  const isHolder = ({node}: Entry) => node.holderState.lease !== undefined;
+  const holder = site.entries.find(isHolder)!;
+  const other = site.entries.find(entry => entry !== holder)!;
+  const known = other.node.versions.plans.get('api')!;
+  const {sequence} = known.plan;
+  const later = {...known.plan, phase: 'reverted', sequence: sequence + 5};
+  other.node.versions.plans.set('api', {
+    ...known,
+    plan: later as typeof known.plan,
+    isStored: false,
+  });
+  const isReported = () => {
+    const {reports} = holder.node.holderState;
+    const received = reports.get(other.node.settings.node);
+    return received?.reports[0]?.sequence === sequence + 5;
+  };
+  await until(isReported);
+  t.is(plans(holder)?.sequence, sequence);
+  await until(() => !isHolder(holder));
+  t.is(plans(holder)?.sequence, sequence);
+  await until(() => plans(holder)?.phase === 'reverted');
+});
+
 test('another node becomes the holder after the holder has stopped', async t => {
   const site = await startRollout(t);
   await until(() =>
--- a/packages/lifecycle/src/process.ts
+++ b/packages/lifecycle/src/process.ts
@@ -36,7 +36,8 @@
 
 /**
  * Runs an asynchronous step periodically, with a pause after each run, until the
- * task is ended. A pause that is a function is computed before each pause. A step that throws is reported and does not end the task.
+ * task is ended. A pause given as a function is computed anew each time. A step
+ * that throws is reported and does not end the task.
  *
  * @example
  * const heartbeats = repeat(1_000, () => sendHeartbeats(node), logError);
