Sample upstreams again after their failures, and wait for a pause only if none is left

Cause, found by reading: above 20 nodes the sample left out upstreams that had failed, but only a comparison forgot their failures, so one failure excluded an upstream from the samples of a node for good. And one upstream that had asked for a pause made a request give up at once, or told its caller to come back late, although another one was at its cold limit or could take the caller's retry.

Change: the sample forgets old failures itself. A pause counts only if no untried upstream is left; for a caller's retry, only if none is left at all.

Result: of four new tests without a network three failed before (10 of 20 upstreams used again; a pause of 5 s where another upstream was left, twice).

--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -18,7 +18,7 @@
 import {readAnswerBody, writeHead} from './relay.js';
 import {endWithFailure, recordAnswer} from './reply.js';
 import {reserveSend, mayAskLargerModel, mayHaveRun} from './retries.js';
-import {findPauseMs} from './exclusions.js';
+import {findPauseMs, findRetryPauseMs} from './exclusions.js';
 import {selectUpstream, type Selection} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
 import {relayStream} from './streaming.js';
@@ -243,7 +243,7 @@
   const {reason} = progress;
   if (!mayHaveRun(exchange)) {
     // Before the pause that upstreams asked for ends, a retry would be in vain.
-    const pauseMs = findPauseMs(node, exchange) ?? 0;
+    const pauseMs = findRetryPauseMs(node, exchange) ?? 0;
     const retryAfterMs = Math.max(RETRY_AFTER_MS, pauseMs);
     return failure('no-upstream', reason, {retryAfterMs});
   }
--- a/apps/router/src/entry/exclusions.ts
+++ b/apps/router/src/entry/exclusions.ts
@@ -45,14 +45,8 @@
   return leastWork === Infinity ? 0 : leastWork;
 }
 
-/**
- * Time until an upstream that wants no requests now may be used again,
- * milliseconds; `undefined` if another reason excludes all upstreams.
- */
-export function findPauseMs(
-  node: EntryNode,
-  exchange: Exchange,
-): number | undefined {
+/** Time until the first upstream that wants no requests now may be used again. */
+function findEarliestEnd(node: EntryNode, exchange: Exchange) {
   let earliest = Infinity;
   for (const state of node.upstreams.values()) {
     if (findExclusion(node, exchange, state) !== PAUSED) continue;
@@ -60,3 +54,24 @@
   }
   return earliest === Infinity ? undefined : earliest - node.clock();
 }
+
+/**
+ * Time until an upstream may be used again that wants no requests now,
+ * milliseconds; `undefined` if there is none, or if another upstream is left to
+ * which the request was not sent.
+ */
+export function findPauseMs(
+  node: EntryNode,
+  exchange: Exchange,
+): number | undefined {
+  if (hasUntriedUpstream(node, exchange)) return undefined;
+  return findEarliestEnd(node, exchange);
+}
+
+/** The same for a later request of the caller, which may use any upstream. */
+export function findRetryPauseMs(
+  node: EntryNode,
+  exchange: Exchange,
+): number | undefined {
+  return findPauseMs(node, {...exchange, triedUpstreams: new Set()});
+}
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -170,19 +170,24 @@
   };
 }
 
-/** The upstreams to compare first, without those that failed recently. */
+/** Whether an upstream has neither failed nor been unreachable recently. */
+function isSound(node: EntryNode, state: UpstreamState): boolean {
+  const now = node.clock();
+  dropExpired(state.failures, now - FAILURE_WINDOW_MS);
+  return now >= state.backoffUntil && state.failures.length === 0;
+}
+
+/** The upstreams to compare first. */
 function sampleUsable(
   node: EntryNode,
   usable: readonly UpstreamState[],
   {cachedChances}: Comparison,
 ): UpstreamState[] {
-  const now = node.clock();
-  const sound = (state: UpstreamState) =>
-    now >= state.backoffUntil && state.failures.length === 0;
+  const sound = usable.filter(state => isSound(node, state));
   return sampleCandidates(
-    usable.filter(sound),
+    sound,
     state => isInOwnDomain(node, state),
-    [...cachedChances.keys()].filter(sound),
+    sound.filter(state => cachedChances.has(state)),
     node.random,
   );
 }
@@ -200,7 +205,10 @@
   // Only the load that groups exchange is old enough to mislead.
   if (hasGroups(node.members.size) && usable.length > MIN_SAMPLED_COUNT) {
     const sample = sampleUsable(node, usable, comparison);
-    const selection = chooseAmong(node, exchange, model, sample, comparison);
+    const selection =
+      sample.length > 0
+        ? chooseAmong(node, exchange, model, sample, comparison)
+        : undefined;
     if (selection) return selection;
   }
   return chooseAmong(node, exchange, model, usable, comparison);
--- /dev/null
+++ b/apps/router/test/entry/selection.test.ts
@@ -0,0 +1,123 @@
+/** Tests of the choice of an upstream in a large deployment, without a network. */
+import {
+  findPauseMs,
+  findRetryPauseMs,
+} from '@parsleyarch/router/entry/exclusions';
+import type {Exchange} from '@parsleyarch/router/entry/exchange';
+import {
+  createEntryNode,
+  type EntryNode,
+  type UpstreamState,
+} from '@parsleyarch/router/entry/node';
+import {selectUpstream} from '@parsleyarch/router/entry/selection';
+import {recordFailure} from '@parsleyarch/router/entry/upstream-records';
+import {hashName} from '@parsleyarch/policy/rendezvous';
+import {startKeyspace} from '@parsleyarch/standins/keyspace';
+import test, {type ExecutionContext} from 'ava';
+import {settingsFor} from './site.js';
+
+const MEMBER_COUNT = 60;
+
+/** A node among 60 that knows some upstreams; its clock is set by the test. */
+async function createNode(t: ExecutionContext, upstreamCount: number) {
+  const store = await startKeyspace();
+  t.teardown(() => store.close());
+  const node = createEntryNode(await settingsFor(store, 'node-0'));
+  const time = {now: 100_000};
+  Object.assign(node, {clock: () => time.now});
+  for (let index = 0; index < MEMBER_COUNT; index += 1) {
+    const name = `node-${index}`;
+    const member = {name, digest: hashName(name), failureDomain: 'gulberg'};
+    node.members.set(name, {...member, address: '127.0.0.1:1'});
+  }
+  for (let index = 0; index < upstreamCount; index += 1)
+    addUpstream(node, `i-${index}`);
+  return {node, time};
+}
+
+function addUpstream(node: EntryNode, id: string): void {
+  const state: UpstreamState = {
+    digest: hashName(id),
+    registered: {
+      id,
+      service: 'api',
+      address: '127.0.0.1:1',
+      failureDomain: 'gulberg',
+      version: 'v1',
+      draining: false,
+      slots: 8,
+      coldMs: 0,
+      incarnation: 1,
+    },
+    coldUntil: 0,
+    inFlight: 0,
+    pendingWork: 0,
+    streaming: 0,
+    sentSinceReport: 0,
+    failures: [],
+    backoffUntil: 0,
+    backoffMs: 0,
+    sends: [],
+    lastAnswerAt: 0,
+    promptSegmentSentAt: new Map(),
+  };
+  node.upstreams.set(id, state);
+}
+
+function createExchange(tried: readonly string[] = []): Exchange {
+  return {
+    service: 'api',
+    route: {models: []},
+    caller: {attemptId: 'a', promptSegments: [], promptTokens: 0},
+    body: Buffer.alloc(0),
+    triedUpstreams: new Set(tried),
+  } as unknown as Exchange;
+}
+
+function countChosen(node: EntryNode, draws: number): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (let draw = 0; draw < draws; draw += 1) {
+    const id = selectUpstream(node, createExchange())!.upstream.registered.id;
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  return counts;
+}
+
+test('an upstream that failed once is used again after some seconds', async t => {
+  const {node, time} = await createNode(t, 20);
+  for (let index = 0; index < 10; index += 1)
+    recordFailure(node, node.upstreams.get(`i-${index}`)!);
+  t.is(countChosen(node, 500).size, 10);
+  time.now += 10_000;
+  t.is(countChosen(node, 500).size, 20);
+});
+
+test('all upstreams are compared if every one has failed', async t => {
+  const {node} = await createNode(t, 20);
+  for (const state of node.upstreams.values()) recordFailure(node, state);
+  t.true(countChosen(node, 200).size > 10);
+});
+
+const pause = (node: EntryNode, id: string, pauseMs: number) =>
+  node.notices.set(id, {
+    incarnation: 1,
+    leaving: false,
+    pausedUntil: node.clock() + pauseMs,
+  });
+
+test('a pause counts only if no other upstream is left for the request', async t => {
+  const {node} = await createNode(t, 2);
+  pause(node, 'i-0', 5_000);
+  t.is(findPauseMs(node, createExchange()), undefined);
+  t.is(findPauseMs(node, createExchange(['i-1'])), 5_000);
+  pause(node, 'i-1', 3_000);
+  t.is(findPauseMs(node, createExchange()), 3_000);
+});
+
+test('a caller is told to come back sooner if its retry could use an upstream that was tried', async t => {
+  const {node} = await createNode(t, 2);
+  pause(node, 'i-0', 5_000);
+  t.is(findRetryPauseMs(node, createExchange(['i-1'])), undefined);
+  pause(node, 'i-1', 3_000);
+  t.is(findRetryPauseMs(node, createExchange(['i-1'])), 3_000);
+});
