Mark a shutdown as begun before the first resource stops

Cause: a resource that registered while the first one was stopping was taken as one of a running process, as the shutdown was marked only when it first waited.

Change: the manager marks it before.

Result: the test of a late resource failed before and passes; the mutation that leaves a late resource running is noticed.

--- a/packages/lifecycle/src/manager.ts
+++ b/packages/lifecycle/src/manager.ts
@@ -13,6 +13,9 @@
 export interface ResourceManager {
   readonly resources: ManagedResource[];
   readonly onStopped: (name: string, error?: unknown) => void;
+  /** Whether the shutdown has begun. */
+  isStopping: boolean;
+  /** Resolves once the resources that were registered before it are stopped. */
   stopping?: Promise<void>;
 }
 
@@ -20,7 +23,7 @@
 export function createManager(
   onStopped: ResourceManager['onStopped'],
 ): ResourceManager {
-  return {resources: [], onStopped};
+  return {resources: [], onStopped, isStopping: false};
 }
 
 /**
@@ -33,7 +36,7 @@
   stop: ManagedResource['stop'],
 ): void {
   manager.resources.push({name, stop});
-  if (manager.stopping) void stopResource(manager, {name, stop});
+  if (manager.isStopping) void stopResource(manager, {name, stop});
 }
 
 async function stopResource(
@@ -55,6 +58,7 @@
 
 /** Stops all resources in reverse order; one that fails does not keep the rest from stopping. */
 export function stopAll(manager: ResourceManager): Promise<void> {
+  manager.isStopping = true;
   manager.stopping ??= stopResources(manager);
   return manager.stopping;
 }
