Log which requests break off because their upstream ended

A closed connection alone does not tell a crash from a reset, a truncated answer or a planned stop.

Change: when an upstream closes the connection of a request before the end of its answer, the node connects to it once; a refused connection of an upstream that was registered and not leaving shows that it ended. The line 'upstream ended' names the request, customer, route, prompt segments and incarnation. 'stream broken' names the upstream and which side closed.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -27,6 +27,8 @@
       readonly reason: string;
       /** Whether this node cancelled the send after a timeout. */
       readonly tooLate?: boolean;
+      /** Whether the upstream closed the connection without an answer. */
+      readonly closedByUpstream?: boolean;
     }
   /** The header of a usable answer has arrived. */
   | {
@@ -37,6 +39,8 @@
 
 /** The body of an answer while it is received. */
 export interface AnswerBody {
+  /** The upstream that sends it. */
+  readonly upstream: RegisteredUpstream;
   readonly message: http.IncomingMessage;
   /**
    * Whether the connection broke. A body that is delimited by the end of the
@@ -129,7 +133,8 @@
   {upstream, addedWork, presentWork}: Selection,
   request: UpstreamRequest,
 ): Attempt {
-  const [host, port] = upstream.registered.address.split(':');
+  const {registered} = upstream;
+  const [host, port] = registered.address.split(':');
   const outgoing = http.request({
     host,
     port: Number(port),
@@ -153,7 +158,12 @@
       const reason = cancelReason || error?.message || 'connection closed';
       resolve(
         connected
-          ? {kind: 'lost', reason, tooLate: timedOut}
+          ? {
+              kind: 'lost',
+              reason,
+              tooLate: timedOut,
+              closedByUpstream: cancelReason === '',
+            }
           : {kind: 'unsent', reason},
       );
     };
@@ -165,7 +175,7 @@
     });
     let body: AnswerBody | undefined;
     outgoing.on('response', message => {
-      body = {message, broken: false};
+      body = {upstream: registered, message, broken: false};
       if (isCloseDelimited(message)) detectReset(body);
       upstream.pendingWork -= addedWork;
       upstream.streaming += 1;
@@ -192,7 +202,7 @@
   const upstreamWork = presentWork + addedWork;
   return {
     upstream,
-    registered: upstream.registered,
+    registered,
     startedAt: node.clock(),
     upstreamWork,
     outcome,
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -15,6 +15,7 @@
 } from './exchange.js';
 import {chooseLargerModel, recordConfidenceGain} from './models.js';
 import type {EntryNode} from './node.js';
+import {recordBrokenAnswer} from './crashes.js';
 import {readAnswerBody, writeHead} from './relay.js';
 import {endWithFailure, recordAnswer} from './reply.js';
 import {reserveSend, mayAskLargerModel, mayHaveRun} from './retries.js';
@@ -98,6 +99,7 @@
 ): Promise<Step> {
   const body = await readAnswerBody(incoming);
   if (!body) {
+    await recordBrokenAnswer(node, exchange, incoming.upstream);
     progress.reason = 'answer ended early or was too large';
     return Step.retry;
   }
@@ -228,6 +230,8 @@
   const attempt = startSend(node, exchange, selection, progress.model);
   const outcome = await awaitOutcome(node, exchange, attempt);
   recordOutcome(node, exchange, attempt, outcome, progress.model);
+  if (outcome.kind === 'lost' && outcome.closedByUpstream)
+    await recordBrokenAnswer(node, exchange, attempt.registered);
   if (exchange.ended) {
     if (outcome.kind === 'answer') outcome.body.message.destroy();
     return Step.done;
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -8,6 +8,7 @@
   readonly firstByte: Histogram<'route'>;
   readonly models: Counter<'model' | 'use'>;
   readonly notices: Counter<'kind'>;
+  readonly crashes: Counter<'service'>;
   readonly restorations: Counter;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
@@ -43,6 +44,12 @@
       buckets: FIRST_BYTE_BUCKETS_SECONDS,
       registers,
     }),
+    crashes: new Counter({
+      name: 'parsleyarch_entry_broken_by_crash_total',
+      help: 'Answers broken off by upstreams that ended, by service',
+      labelNames: ['service'],
+      registers,
+    }),
     restorations: new Counter({
       name: 'parsleyarch_entry_store_restorations_total',
       help: 'Times that the store was found restored from a copy',
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -30,6 +30,7 @@
 import {createLog, type Log} from '@parsleyarch/telemetry/log';
 import {randomUUID} from 'node:crypto';
 import * as http from 'node:http';
+import {createCrashes, type Crashes} from './crashes.js';
 import {createFeed, type Feed} from './feed.js';
 import {createFollowing, type Following} from './follow.js';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
@@ -118,6 +119,7 @@
   readonly versions: Versions;
   readonly models: ModelStatistics;
   readonly load: SharedLoad;
+  readonly crashes: Crashes;
   readonly holderState: HolderState;
   readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
@@ -191,6 +193,7 @@
     versions: createVersions(),
     models: createModelStatistics(),
     load: createSharedLoad(),
+    crashes: createCrashes(),
     holderState: createHolderState(),
     peers: {},
     retries: new Map(),
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -2,6 +2,7 @@
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
+import {recordBrokenAnswer} from './crashes.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {
@@ -21,19 +22,28 @@
   return mayRetry(node, exchange) && hasUntriedUpstream(node, exchange);
 }
 
+interface GapWatch {
+  readonly restart: () => void;
+  readonly stop: () => void;
+  readonly hasStalled: () => boolean;
+}
+
 /** Ends a stream that makes no events for too long. */
 function watchGaps(
   node: EntryNode,
   exchange: Exchange,
   body: AnswerBody,
-): {restart: () => void; stop: () => void} {
+): GapWatch {
   const {route} = exchange;
   let timer: NodeJS.Timeout | undefined;
   let lastEventAt = node.clock();
+  let stalled = false;
   const check = () => {
     const gapMs = node.clock() - lastEventAt;
-    if (isStalled(route, gapMs, canMove(node, exchange)))
+    if (isStalled(route, gapMs, canMove(node, exchange))) {
+      stalled = true;
       return void body.message.destroy(new Error('stream stalled'));
+    }
     timer = setTimeout(check, moveGapMs(route) / 2);
   };
   const stop = () => clearTimeout(timer);
@@ -43,32 +53,44 @@
     timer = setTimeout(check, moveGapMs(route));
   };
   restart();
-  return {restart, stop};
+  return {restart, stop, hasStalled: () => stalled};
 }
 
-/** Relays events until the stream ends; returns false if it breaks. */
+/** How the relay of one upstream's events ended. */
+const StreamEnd = {
+  complete: 'complete',
+  /** The upstream closed the connection before the end of the stream. */
+  brokenOff: 'broken off',
+  /** This node closed the connection. */
+  abandoned: 'abandoned',
+} as const;
+type StreamEnd = (typeof StreamEnd)[keyof typeof StreamEnd];
+
+/** Relays events until the stream ends or breaks. */
 async function relayEvents(
   node: EntryNode,
   exchange: Exchange,
   body: AnswerBody,
   splitter: EventSplitter,
-): Promise<boolean> {
+): Promise<StreamEnd> {
   const gaps = watchGaps(node, exchange, body);
   try {
     for await (const chunk of body.message as AsyncIterable<Buffer>) {
       const known = splitter.eventCount;
       const events = splitter.split(chunk);
-      if (splitter.isTooLarge()) return false;
+      if (splitter.isTooLarge()) return StreamEnd.abandoned;
       // Time in which the caller does not read is no gap of the stream.
       if (await writeBytes(exchange.response, events)) gaps.restart();
       else if (splitter.eventCount > known) gaps.restart();
     }
   } catch {
-    return false;
+    return gaps.hasStalled() ? StreamEnd.abandoned : StreamEnd.brokenOff;
   } finally {
     gaps.stop();
   }
-  return isComplete(body) && !splitter.hasPartial();
+  return isComplete(body) && !splitter.hasPartial()
+    ? StreamEnd.complete
+    : StreamEnd.brokenOff;
 }
 
 /** Requests the events after the last relayed one from another upstream. */
@@ -86,6 +108,8 @@
     const attempt = startSend(node, exchange, selection, model, lastEventId);
     const outcome = await awaitOutcome(node, exchange, attempt);
     recordOutcome(node, exchange, attempt, outcome, model);
+    if (outcome.kind === 'lost' && outcome.closedByUpstream)
+      await recordBrokenAnswer(node, exchange, attempt.registered);
     if (outcome.kind === 'refused' || outcome.kind === 'unsent')
       exchange.runs -= 1;
     if (outcome.kind !== 'answer') continue;
@@ -116,7 +140,8 @@
   const splitter = createEventSplitter(caller.lastEventId);
   let body: AnswerBody | undefined = firstBody;
   while (body) {
-    if (await relayEvents(node, exchange, body, splitter)) {
+    const end = await relayEvents(node, exchange, body, splitter);
+    if (end === StreamEnd.complete) {
       if (exchange.ended) return true;
       exchange.ended = true;
       response.end();
@@ -126,8 +151,13 @@
     if (exchange.ended) return true;
     node.logDecision('stream broken', {
       requestId: caller.attemptId,
+      upstream: body.upstream.id,
       lastEventId: splitter.lastId,
+      end,
     });
+    if (end === StreamEnd.brokenOff)
+      await recordBrokenAnswer(node, exchange, body.upstream);
+    if (exchange.ended) return true;
     const lastId = splitter.lastId;
     splitter.reset();
     body = await resumeStream(node, exchange, model, lastId);
