Show that a request may end one upstream after the other on the entry path

The entry path keeps nothing of a crash beyond the request that met it.

Change: a test with three nodes and six upstreams that end under one request and start again.

--- /dev/null
+++ b/apps/router/test/entry/crashes.test.ts
@@ -0,0 +1,70 @@
+/** Tests of requests that end every upstream which runs them. */
+import test, {type ExecutionContext} from 'ava';
+import {startCrashingUpstreams} from './crashing.js';
+import {
+  call,
+  closeSite,
+  configure,
+  route,
+  startNode,
+  startSite,
+  until,
+  type Call,
+  type Site,
+} from './site.js';
+
+/** Longest time in which evidence reaches all nodes that are in touch. */
+const CONTACT_MS = 3_000;
+/** Sends that may follow once that time has passed. */
+const MAX_LATER_SENDS = 3;
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+async function startNodes(t: ExecutionContext, count: number): Promise<Site> {
+  const site = await startSite(0);
+  t.teardown(() => closeSite(site));
+  const customers = ['k1', 'k2'].map(key => ({
+    name: `customer-${key}`,
+    api_keys: [key],
+  }));
+  configure(site, [route()], {tenants: customers});
+  for (let index = 0; index < count; index += 1) await startNode(site);
+  await until(() =>
+    site.entries.every(
+      ({node}) =>
+        node.members.size === count && node.peers.client !== undefined,
+    ),
+  );
+  return site;
+}
+
+const send = (site: Site, index: number, body: string, fields: Call = {}) =>
+  call(site.entries[index % site.entries.length], {
+    method: 'POST',
+    body,
+    ...fields,
+    headers: {authorization: 'Bearer k1', ...fields.headers},
+  });
+
+test('a request that ends its upstreams is refused by all nodes after the third end', async t => {
+  const site = await startNodes(t, 3);
+  const upstreams = await startCrashingUpstreams(
+    site,
+    6,
+    ({body}) => body === 'fatal',
+  );
+  await until(() => site.entries[0].node.upstreams.size === 6);
+  for (let sent = 0; upstreams.ended.length < 3 && sent < 20; sent += 1)
+    await send(site, sent, 'fatal');
+  t.true(upstreams.ended.length >= 3);
+  await wait(CONTACT_MS);
+  const before = upstreams.received.length;
+  const answers = [];
+  for (let sent = 0; sent < 12; sent += 1)
+    answers.push(await send(site, sent, 'fatal'));
+  t.true(upstreams.received.length - before <= MAX_LATER_SENDS);
+  const last = answers.at(-1)!;
+  t.is(last.status, 503);
+  t.true(Number(last.headers['retry-after']) > 0);
+  t.is((await send(site, 0, 'sound')).status, 200);
+});
--- /dev/null
+++ b/apps/router/test/entry/crashing.ts
@@ -0,0 +1,60 @@
+/** Upstreams that end when they run certain requests, and start again. */
+import {
+  createSeal,
+  startRunner,
+  type ReceivedRequest,
+} from '@parsleyarch/standins/runner';
+import type {Site} from './site.js';
+
+/** Time from the end of an upstream to the start of its next incarnation. */
+const RESTART_MS = 300;
+
+/** Upstreams that ended so far, and the requests that they ended under. */
+export interface CrashingUpstreams {
+  readonly ended: ReceivedRequest[];
+  /** All requests that reached upstreams and end them. */
+  readonly received: ReceivedRequest[];
+}
+
+/**
+ * Starts upstreams that end when they begin an answer to a request that `crashes`
+ * selects. Each starts again with a new id while its old entry is still there.
+ */
+export async function startCrashingUpstreams(
+  site: Site,
+  count: number,
+  crashes: (request: ReceivedRequest) => boolean,
+): Promise<CrashingUpstreams> {
+  const upstreams: CrashingUpstreams = {ended: [], received: []};
+  let closed = false;
+  const start = async (name: string) => {
+    const runner = await startRunner(site.store, name);
+    if (closed) return runner.close();
+    site.runners.push(runner);
+    runner.script = async (request, response) => {
+      if (!crashes(request)) {
+        response.writeHead(200, createSeal(request));
+        return void response.end('sound');
+      }
+      upstreams.received.push(request);
+      response.writeHead(200, createSeal(request));
+      response.write('begun');
+      await runner.server.stop();
+      upstreams.ended.push(request);
+      setTimeout(() => {
+        runner.deregister();
+        void start(`${name}+`);
+      }, RESTART_MS).unref();
+    };
+    runner.register();
+  };
+  const close = site.store.close;
+  Object.assign(site.store, {
+    close: () => {
+      closed = true;
+      return close();
+    },
+  });
+  for (let index = 0; index < count; index += 1) await start(`i-${index}`);
+  return upstreams;
+}
