Refuse requests that end their upstreams on all nodes of the entry path

Callers of other requests saw 503 and broken streams: one request, sent again by its caller, ended one upstream after the other.

Cause: the entry path knew of a crash only within the request that met it. Each attempt of a caller went to up to maxAttempts upstreams, on every node. The class of fault is knowledge that one request gains and the next attempt, or the next node, needs.

Change: a refused connection after a broken answer shows that an upstream ended; the requests broken off are suspects until an upstream answers them. Three ends in sequence without an answer make a culprit, which is refused with 'quarantined' (503) and tried again by one node. Two ends stop the resends of one request, and suspects go to one upstream. Evidence travels with the reports of load, while digests differ.

Ruled out: counting ends at one moment (a loss of power would refuse what runs everywhere), broken connections without the refused one (resets, truncated answers).

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -39,8 +39,7 @@
 
 /** The body of an answer while it is received. */
 export interface AnswerBody {
-  /** The upstream that sends it. */
-  readonly upstream: RegisteredUpstream;
+  readonly send: Send;
   readonly message: http.IncomingMessage;
   /**
    * Whether the connection broke. A body that is delimited by the end of the
@@ -54,12 +53,15 @@
   return message.complete && !broken;
 }
 
-/** A send in progress. */
-export interface Attempt {
-  readonly upstream: UpstreamState;
-  /** The incarnation of the upstream to which it was sent. */
+/** When a request was sent, and to which incarnation of an upstream. */
+export interface Send {
   readonly registered: RegisteredUpstream;
   readonly startedAt: number;
+}
+
+/** A send in progress. */
+export interface Attempt extends Send {
+  readonly upstream: UpstreamState;
   /** Work at the upstream at the time of the send, including its own. */
   readonly upstreamWork: number;
   readonly outcome: Promise<Outcome>;
@@ -134,6 +136,7 @@
   request: UpstreamRequest,
 ): Attempt {
   const {registered} = upstream;
+  const send = {registered, startedAt: node.clock()};
   const [host, port] = registered.address.split(':');
   const outgoing = http.request({
     host,
@@ -175,7 +178,7 @@
     });
     let body: AnswerBody | undefined;
     outgoing.on('response', message => {
-      body = {upstream: registered, message, broken: false};
+      body = {send, message, broken: false};
       if (isCloseDelimited(message)) detectReset(body);
       upstream.pendingWork -= addedWork;
       upstream.streaming += 1;
@@ -201,9 +204,8 @@
   outgoing.end(exchange.body);
   const upstreamWork = presentWork + addedWork;
   return {
+    ...send,
     upstream,
-    registered,
-    startedAt: node.clock(),
     upstreamWork,
     outcome,
     cancel,
--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -1,7 +1,24 @@
-/** Detects upstreams that ended while they served requests of this node. */
+/**
+ * Upstreams that ended while they served requests: detects them, shares what is
+ * known of them with the reports of load, and assesses requests by it.
+ */
+import type {CrashReport} from '@parsleyarch/peer/messages';
+import {
+  assessRequest,
+  clearSuspects,
+  createCrashEvidence,
+  dropOldCrashes,
+  mergeCrash,
+  Suspicion,
+  type Assessment,
+  type CrashEvidence,
+} from '@parsleyarch/policy/crash-evidence';
+import {hashName, listFirstMembers} from '@parsleyarch/policy/rendezvous';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import {wait} from '@parsleyarch/lifecycle/process';
+import {createHash} from 'node:crypto';
 import * as net from 'node:net';
+import type {Send} from './attempt.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {isLeaving} from './notices.js';
@@ -11,6 +28,32 @@
 /** Time limit of the connection that shows whether an upstream has ended. */
 const PROBE_TIMEOUT_MS = 200;
 
+/** Time after which a culprit is tried again if the last trial had no result. */
+const TRIAL_INTERVAL_MS = 5_000;
+/** Number of upstreams that may end under one request before it is given up. */
+const MAX_CRASHES_OF_REQUEST = 2;
+const FINGERPRINT_CHAR_COUNT = 16;
+
+/** What a node knows of upstreams that ended. */
+export interface Crashes {
+  readonly evidence: CrashEvidence;
+  /** Probes in progress, by incarnation of the upstream. */
+  readonly probes: Map<string, Promise<boolean>>;
+  /** Digest of the evidence of other nodes at the last exchange, by node. */
+  readonly digests: Map<string, number>;
+  /** When this node last tried a culprit again, by key. */
+  readonly trials: Map<string, number>;
+}
+
+export function createCrashes(): Crashes {
+  return {
+    evidence: createCrashEvidence(),
+    probes: new Map(),
+    digests: new Map(),
+    trials: new Map(),
+  };
+}
+
 /** Name of one incarnation of an upstream. */
 function incarnationKey({id, incarnation}: RegisteredUpstream): string {
   return `${id}@${incarnation}`;
@@ -67,16 +110,6 @@
   return started;
 }
 
-/** What a node knows of upstreams that ended. */
-export interface Crashes {
-  /** Probes in progress, by incarnation of the upstream. */
-  readonly probes: Map<string, Promise<boolean>>;
-}
-
-export function createCrashes(): Crashes {
-  return {probes: new Map()};
-}
-
 /**
  * Called when an upstream closes the connection of a request before the end of its
  * answer. A closed connection alone is no crash: it may be reset, or the answer
@@ -85,10 +118,18 @@
 export async function recordBrokenAnswer(
   node: EntryNode,
   exchange: Exchange,
-  upstream: RegisteredUpstream,
+  {registered: upstream, startedAt}: Send,
 ): Promise<void> {
+  const at = node.clock();
   if (!(await hasEnded(node, upstream))) return;
   const {caller, service, route, customer, body} = exchange;
+  exchange.crashes += 1;
+  const suspect = {runMs: at - startedAt, cleared: false};
+  mergeCrash(node.crashes.evidence, {
+    upstream: incarnationKey(upstream),
+    at,
+    suspects: new Map(listKeys(exchange).map(key => [key, suspect])),
+  });
   node.metrics.crashes.inc({service});
   node.logDecision('upstream ended', {
     requestId: caller.attemptId,
@@ -102,3 +143,103 @@
     promptSegments: caller.promptSegments.map(({id}) => id),
   });
 }
+
+/**
+ * What requests may have in common that ends upstreams, the narrowest first.
+ * Callers send such a request again with the same path, customer and body.
+ */
+function listKeys(exchange: Exchange): readonly string[] {
+  exchange.crashKeys ??= [fingerprint(exchange)];
+  return exchange.crashKeys;
+}
+
+function fingerprint({target, customer, body}: Exchange): string {
+  const hash = createHash('sha256').update(
+    JSON.stringify([target, customer?.name ?? '']),
+  );
+  return hash.update(body).digest('hex').slice(0, FINGERPRINT_CHAR_COUNT);
+}
+
+/** Called when an upstream has completed an answer, whatever its status. */
+export function recordSurvival(node: EntryNode, exchange: Exchange): void {
+  const {evidence} = node.crashes;
+  if (evidence.crashes.size > 0) clearSuspects(evidence, listKeys(exchange));
+}
+
+/** Assesses a request by the crashes that this node knows of. */
+export function assessExchange(
+  {crashes: {evidence}}: EntryNode,
+  exchange: Exchange,
+): Assessment {
+  const keys = evidence.crashes.size > 0 ? listKeys(exchange) : [];
+  return assessRequest(evidence, keys);
+}
+
+/** Whether this node may try a culprit again; one node does so for each. */
+function mayTry(node: EntryNode, {key, refusedUntil}: Assessment): boolean {
+  const now = node.clock();
+  if (now < refusedUntil) return false;
+  const [first] = listFirstMembers(hashName(key), node.members.values(), 1);
+  if (first?.name !== node.settings.node) return false;
+  const {trials} = node.crashes;
+  if (now - (trials.get(key) ?? -Infinity) < TRIAL_INTERVAL_MS) return false;
+  trials.set(key, now);
+  return true;
+}
+
+/**
+ * Returns why a request may not be sent to an upstream because of crashes, or
+ * `undefined` if it may.
+ */
+export function findCrashDenial(
+  node: EntryNode,
+  exchange: Exchange,
+): string | undefined {
+  if (exchange.crashes >= MAX_CRASHES_OF_REQUEST)
+    return 'upstreams ended under it';
+  const assessment = assessExchange(node, exchange);
+  if (assessment.suspicion !== Suspicion.culprit) return undefined;
+  if (mayTry(node, assessment)) return undefined;
+  return 'requests like it end upstreams';
+}
+
+/** Time until a request that is refused as a culprit may be tried, milliseconds. */
+export function findRefusalMs(
+  node: EntryNode,
+  exchange: Exchange,
+): number | undefined {
+  const {suspicion, refusedUntil} = assessExchange(node, exchange);
+  if (suspicion !== Suspicion.culprit) return undefined;
+  return Math.max(TRIAL_INTERVAL_MS, refusedUntil - node.clock());
+}
+
+/** Reports what this node knows of crashes, unless the receiver knows the same. */
+export function reportCrashes(
+  {crashes: {evidence}, clock}: EntryNode,
+  knownDigest?: number,
+): CrashReport {
+  const now = clock();
+  dropOldCrashes(evidence, now);
+  const crashDigest = evidence.digest;
+  if (crashDigest === knownDigest) return {crashDigest, crashes: []};
+  const crashes = [...evidence.crashes.values()].map(
+    ({upstream, at, suspects}) => ({
+      upstream,
+      ageMs: now - at,
+      suspects: [...suspects].map(([key, suspect]) => ({key, ...suspect})),
+    }),
+  );
+  return {crashDigest, crashes};
+}
+
+/** Adds what another node knows of crashes. */
+export function mergeCrashes(node: EntryNode, {crashes}: CrashReport): void {
+  const {evidence} = node.crashes;
+  for (const {upstream, ageMs, suspects} of crashes) {
+    mergeCrash(evidence, {
+      upstream,
+      at: node.clock() - ageMs,
+      suspects: new Map(suspects.map(({key, ...suspect}) => [key, suspect])),
+    });
+  }
+}
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -15,7 +15,7 @@
 } from './exchange.js';
 import {chooseLargerModel, recordConfidenceGain} from './models.js';
 import type {EntryNode} from './node.js';
-import {recordBrokenAnswer} from './crashes.js';
+import {findRefusalMs, recordBrokenAnswer, recordSurvival} from './crashes.js';
 import {readAnswerBody, writeHead} from './relay.js';
 import {endWithFailure, recordAnswer} from './reply.js';
 import {reserveSend, mayAskLargerModel, mayHaveRun} from './retries.js';
@@ -99,10 +99,11 @@
 ): Promise<Step> {
   const body = await readAnswerBody(incoming);
   if (!body) {
-    await recordBrokenAnswer(node, exchange, incoming.upstream);
+    await recordBrokenAnswer(node, exchange, incoming.send);
     progress.reason = 'answer ended early or was too large';
     return Step.retry;
   }
+  recordSurvival(node, exchange);
   if (answer.status >= 500 && isRepeatable(exchange)) {
     progress.errorAnswer = {answer, body};
     progress.reason = `upstream answered ${answer.status}`;
@@ -231,7 +232,7 @@
   const outcome = await awaitOutcome(node, exchange, attempt);
   recordOutcome(node, exchange, attempt, outcome, progress.model);
   if (outcome.kind === 'lost' && outcome.closedByUpstream)
-    await recordBrokenAnswer(node, exchange, attempt.registered);
+    await recordBrokenAnswer(node, exchange, attempt);
   if (exchange.ended) {
     if (outcome.kind === 'answer') outcome.body.message.destroy();
     return Step.done;
@@ -246,6 +247,9 @@
 ): Failure {
   const {reason} = progress;
   if (!mayHaveRun(exchange)) {
+    const refusalMs = findRefusalMs(node, exchange);
+    if (refusalMs !== undefined)
+      return failure('quarantined', reason, {retryAfterMs: refusalMs});
     // Before the pause that upstreams asked for ends, a retry would be in vain.
     const pauseMs = findRetryPauseMs(node, exchange) ?? 0;
     const retryAfterMs = Math.max(RETRY_AFTER_MS, pauseMs);
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -50,6 +50,10 @@
   readonly triedUpstreams: Set<string>;
   /** Old or new version, while a roll-out of its service is under way. */
   side?: Side;
+  /** Upstreams that ended while they served it. */
+  crashes: number;
+  /** Keys of this request in the evidence on crashes; computed when needed. */
+  crashKeys?: readonly string[];
   /** Whether it failed on the version that is being rolled out. */
   freshFailed: boolean;
   /** Whether the caller has disconnected or the answer is finished. */
@@ -146,6 +150,7 @@
     sends: 0,
     runs: 0,
     triedUpstreams: new Set(),
+    crashes: 0,
     freshFailed: false,
     ended: false,
   });
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -9,6 +9,7 @@
 import {repeat} from '@parsleyarch/lifecycle/process';
 import {callPeer} from '@parsleyarch/peer/client';
 import type {
+  CrashReport,
   LoadReport,
   LoadSummary,
   UpstreamLoad,
@@ -19,6 +20,7 @@
   shareIntervalMs,
 } from '@parsleyarch/policy/load-sharing';
 import {totalWork} from '@parsleyarch/policy/work';
+import {mergeCrashes, reportCrashes} from './crashes.js';
 import {reportConfirmation} from './feed.js';
 import {applyConfirmation, leaveSource} from './follow.js';
 import type {EntryNode, UpstreamState} from './node.js';
@@ -89,9 +91,10 @@
 /** Answers a report: keeps it, and returns the load that its sender lacks. */
 export function collectLoad(
   node: EntryNode,
-  {node: name, loads, isGroup, leaving}: LoadReport,
+  {node: name, loads, isGroup, leaving, ...crashes}: LoadReport,
 ): LoadSummary {
   recordLeaving(node, leaving);
+  mergeCrashes(node, crashes);
   const {reports, groups} = node.load;
   const report = {at: node.clock(), loads};
   if (!isGroup) reports.set(name, report);
@@ -101,6 +104,7 @@
   return {
     loads: sums,
     leaving: listLeaving(node),
+    ...reportCrashes(node, crashes.crashDigest),
     ...reportConfirmation(node),
   };
 }
@@ -158,11 +162,16 @@
 async function sendReport(
   node: EntryNode,
   collector: string,
-  report: LoadReport,
+  load: Omit<LoadReport, keyof CrashReport | 'leaving'>,
 ): Promise<LoadSummary | undefined> {
   const address = node.members.get(collector)?.address;
   const {client} = node.peers;
   if (!address || !client) return undefined;
+  const report = {
+    ...load,
+    leaving: listLeaving(node),
+    ...reportCrashes(node, node.crashes.digests.get(collector)),
+  };
   const sentAt = node.continuousClock();
   const summary = await callPeer(
     client,
@@ -174,6 +183,8 @@
   if (summary.isOk()) {
     applyConfirmation(node, summary.value, sentAt);
     recordLeaving(node, summary.value.leaving);
+    mergeCrashes(node, summary.value);
+    node.crashes.digests.set(collector, summary.value.crashDigest);
     return summary.value;
   }
   node.load.skipped.set(collector, node.clock() + COLLECTOR_SKIP_MS);
@@ -194,7 +205,6 @@
     node: node.settings.node,
     loads: sumGroup(node),
     isGroup: true,
-    leaving: listLeaving(node),
   };
   const summary = await sendReport(node, collector, report);
   if (!summary) return;
@@ -230,8 +240,7 @@
   const collector = collectors.find(other => !isSkipped(node, other));
   if (collector === undefined) return;
   const loads = listLocalLoads(node);
-  const leaving = listLeaving(node);
-  const report = {node: name, loads, isGroup: false, leaving};
+  const report = {node: name, loads, isGroup: false};
   const summary = await sendReport(node, collector, report);
   if (summary) applySums(node, summary.loads);
 }
--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -7,6 +7,7 @@
   consumeRetry,
   type RetryWindow,
 } from '@parsleyarch/policy/retry-window';
+import {findCrashDenial} from './crashes.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 
@@ -45,6 +46,8 @@
   exchange: Exchange,
 ): string | undefined {
   const {sends, runs, route} = exchange;
+  const crashDenial = findCrashDenial(node, exchange);
+  if (crashDenial) return crashDenial;
   const window = getRetryWindow(node, exchange.service);
   if (sends === 0) {
     countFirstSend(window, node.clock());
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -7,9 +7,11 @@
 import {sampleCandidates} from '@parsleyarch/policy/candidate-sample';
 import {hasGroups} from '@parsleyarch/policy/load-sharing';
 import {expectCached} from '@parsleyarch/policy/prompt-affinity';
-import {hashName} from '@parsleyarch/policy/rendezvous';
+import {Suspicion} from '@parsleyarch/policy/crash-evidence';
+import {hashName, listFirstMembers} from '@parsleyarch/policy/rendezvous';
 import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
 import type {PooledService} from '@parsleyarch/resource/routing';
+import {assessExchange} from './crashes.js';
 import type {Exchange} from './exchange.js';
 import {findExclusion} from './exclusions.js';
 import {workAt} from './load.js';
@@ -192,14 +194,34 @@
   );
 }
 
+/**
+ * Limits a request that may end its upstream to one upstream, the same one on all
+ * nodes, so that requests like it do not end several before they are refused.
+ */
+function isolateSuspect(
+  node: EntryNode,
+  exchange: Exchange,
+  usable: readonly UpstreamState[],
+): readonly UpstreamState[] {
+  const {suspicion, key} = assessExchange(node, exchange);
+  if (suspicion === Suspicion.none) return usable;
+  const sound = usable.filter(state => isSound(node, state));
+  const isolated = listFirstMembers(hashName(key), sound, 1);
+  return isolated.length > 0 ? isolated : usable;
+}
+
 /** Returns `undefined` if no upstream may or can accept the request. */
 export function selectUpstream(
   node: EntryNode,
   exchange: Exchange,
   model = '',
 ): Selection | undefined {
-  const usable = [...node.upstreams.values()].filter(
-    state => !findExclusion(node, exchange, state),
+  const usable = isolateSuspect(
+    node,
+    exchange,
+    [...node.upstreams.values()].filter(
+      state => !findExclusion(node, exchange, state),
+    ),
   );
   const comparison = createComparison(node, exchange, model, usable);
   // Only the load that groups exchange is old enough to mislead.
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -2,7 +2,7 @@
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
-import {recordBrokenAnswer} from './crashes.js';
+import {recordBrokenAnswer, recordSurvival} from './crashes.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {
@@ -109,7 +109,7 @@
     const outcome = await awaitOutcome(node, exchange, attempt);
     recordOutcome(node, exchange, attempt, outcome, model);
     if (outcome.kind === 'lost' && outcome.closedByUpstream)
-      await recordBrokenAnswer(node, exchange, attempt.registered);
+      await recordBrokenAnswer(node, exchange, attempt);
     if (outcome.kind === 'refused' || outcome.kind === 'unsent')
       exchange.runs -= 1;
     if (outcome.kind !== 'answer') continue;
@@ -142,6 +142,7 @@
   while (body) {
     const end = await relayEvents(node, exchange, body, splitter);
     if (end === StreamEnd.complete) {
+      recordSurvival(node, exchange);
       if (exchange.ended) return true;
       exchange.ended = true;
       response.end();
@@ -151,12 +152,12 @@
     if (exchange.ended) return true;
     node.logDecision('stream broken', {
       requestId: caller.attemptId,
-      upstream: body.upstream.id,
+      upstream: body.send.registered.id,
       lastEventId: splitter.lastId,
       end,
     });
     if (end === StreamEnd.brokenOff)
-      await recordBrokenAnswer(node, exchange, body.upstream);
+      await recordBrokenAnswer(node, exchange, body.send);
     if (exchange.ended) return true;
     const lastId = splitter.lastId;
     splitter.reset();
--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -68,3 +68,54 @@
   t.true(Number(last.headers['retry-after']) > 0);
   t.is((await send(site, 0, 'sound')).status, 200);
 });
+
+test('a node that starts late learns of a request that ends upstreams from the others', async t => {
+  const site = await startNodes(t, 2);
+  const upstreams = await startCrashingUpstreams(
+    site,
+    6,
+    ({body}) => body === 'fatal',
+  );
+  await until(() => site.entries[0].node.upstreams.size === 6);
+  for (let sent = 0; upstreams.ended.length < 3 && sent < 20; sent += 1)
+    await send(site, sent, 'fatal');
+  await until(() =>
+    site.entries.every(({node}) => node.crashes.evidence.crashes.size >= 3),
+  );
+  const {node} = await startNode(site);
+  await until(() => node.crashes.evidence.crashes.size >= 3);
+  const before = upstreams.received.length;
+  t.is((await send(site, 2, 'fatal')).status, 503);
+  t.is(upstreams.received.length, before);
+});
+
+test('requests are served again after all upstreams ended under them at once', async t => {
+  const site = await startNodes(t, 2);
+  const upstreams = await startCrashingUpstreams(site, 4, () => false);
+  await until(() => site.entries[0].node.upstreams.size === 4);
+  const held = [...site.runners];
+  for (const runner of held) runner.script = () => {};
+  const answers = Array.from({length: 12}, (_, index) =>
+    send(site, index, 'sound'),
+  );
+  await until(() => held.flatMap(({requests}) => requests).length === 12);
+  for (const runner of held) await runner.server.stop();
+  await Promise.all(answers);
+  for (const runner of held) runner.deregister();
+  await startCrashingUpstreams(site, 2, () => false);
+  await until(() => site.entries.every(({node}) => node.upstreams.size === 2));
+  t.is(upstreams.ended.length, 0);
+  for (let index = 0; index < 4; index += 1)
+    t.is((await send(site, index, 'sound')).status, 200);
+});
+
+test('a closed connection of an upstream that goes on serving makes no suspect', async t => {
+  const site = await startNodes(t, 1);
+  await startCrashingUpstreams(site, 2, () => false);
+  const [{node}] = site.entries;
+  await until(() => node.upstreams.size === 2);
+  for (const runner of site.runners)
+    runner.script = (_request, response) => void response.destroy();
+  t.is((await send(site, 0, 'sound')).status, 502);
+  t.is(node.crashes.evidence.crashes.size, 0);
+});
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -27,6 +27,8 @@
   return nodes;
 }
 
+const NOTHING_ELSE = {leaving: [], crashDigest: 0, crashes: []};
+
 const loadOf = (pending: number) => [{upstream: 'i-1', pending, streaming: 1}];
 
 test('a node gets the sum over all other nodes, also over those of other groups', async t => {
@@ -35,51 +37,51 @@
     node: 'a',
     loads: loadOf(1),
     isGroup: false,
-    leaving: [],
+    ...NOTHING_ELSE,
   });
   collectLoad(first, {
     node: 'b',
     loads: loadOf(2),
     isGroup: false,
-    leaving: [],
+    ...NOTHING_ELSE,
   });
   collectLoad(second, {
     node: 'c',
     loads: loadOf(4),
     isGroup: false,
-    leaving: [],
+    ...NOTHING_ELSE,
   });
   collectLoad(second, {
     node: 'd',
     loads: loadOf(8),
     isGroup: false,
-    leaving: [],
+    ...NOTHING_ELSE,
   });
   const [ofSecond] = collectLoad(second, {
     node: 'node-0',
     loads: loadOf(3),
     isGroup: true,
-    leaving: [],
+    ...NOTHING_ELSE,
   }).loads;
   t.like(ofSecond, {pending: 12, streaming: 2});
   collectLoad(first, {
     node: 'node-1',
     loads: [ofSecond],
     isGroup: true,
-    leaving: [],
+    ...NOTHING_ELSE,
   });
   const [forA] = collectLoad(first, {
     node: 'a',
     loads: loadOf(1),
     isGroup: false,
-    leaving: [],
+    ...NOTHING_ELSE,
   }).loads;
   t.like(forA, {pending: 14, streaming: 3});
   const [forC] = collectLoad(second, {
     node: 'c',
     loads: loadOf(4),
     isGroup: false,
-    leaving: [],
+    ...NOTHING_ELSE,
   }).loads;
   t.like(forC, {pending: 11, streaming: 2});
 });
--- a/packages/errors/src/failure.ts
+++ b/packages/errors/src/failure.ts
@@ -48,6 +48,7 @@
   'stale-configuration': refusal(503, true),
   'not-ready': refusal(503, true),
   'suspected-poison': refusal(422),
+  quarantined: refusal(503, true),
   'store-unavailable': refusal(503, true),
   'key-reused': refusal(422),
   'upstream-refused': refusal(502, true),
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -159,8 +159,29 @@
   readonly upstream: string;
   readonly incarnation: number;
 }
+/** A request that an upstream served when it ended. */
+export interface CrashSuspect {
+  readonly key: string;
+  /** Whether an upstream has answered it since. */
+  readonly cleared: boolean;
+  /** Time that it had run there, milliseconds. */
+  readonly runMs: number;
+}
+/** An upstream that ended while it served requests. */
+export interface CrashedUpstream {
+  /** Incarnation of the upstream. */
+  readonly upstream: string;
+  readonly ageMs: number;
+  readonly suspects: readonly CrashSuspect[];
+}
+/** What a node knows of crashes. */
+export interface CrashReport {
+  readonly crashDigest: number;
+  /** Empty if the receiver is known to have the same digest. */
+  readonly crashes: readonly CrashedUpstream[];
+}
 /** The load that one node, or the nodes of its group, placed on each upstream. */
-export interface LoadReport {
+export interface LoadReport extends CrashReport {
   readonly node: string;
   readonly loads: readonly UpstreamLoad[];
   /** Whether the load is the sum over the nodes that report to the sender. */
@@ -181,7 +202,7 @@
   readonly confirmedAgeMs: number;
 }
 /** Load per upstream, summed over the nodes whose load the reporter lacks. */
-export interface LoadSummary extends Confirmation {
+export interface LoadSummary extends Confirmation, CrashReport {
   /** Upstreams that are leaving, as far as the collector knows. */
   readonly leaving: readonly LeavingUpstream[];
   readonly loads: readonly UpstreamLoad[];
--- /dev/null
+++ b/packages/policy/test/crash-evidence.test.ts
@@ -0,0 +1,156 @@
+import {
+  assessRequest,
+  clearSuspects,
+  createCrashEvidence,
+  dropOldCrashes,
+  mergeCrash,
+  Suspicion,
+  type Crash,
+} from '@parsleyarch/policy/crash-evidence';
+import test from 'ava';
+import fc from 'fast-check';
+
+const MINUTE_MS = 60_000;
+
+/** An end at a time under requests that had run for 50 ms. */
+function crash(at: number, keys: readonly string[], runMs = 50): Crash {
+  const suspect = {runMs, cleared: false};
+  return {
+    upstream: `u@${at}`,
+    at,
+    suspects: new Map(keys.map(key => [key, suspect])),
+  };
+}
+
+function evidenceOf(crashes: Iterable<Crash>) {
+  const evidence = createCrashEvidence();
+  for (const each of crashes) mergeCrash(evidence, each);
+  return evidence;
+}
+
+const suspicionOf = (
+  evidence: ReturnType<typeof createCrashEvidence>,
+  key: string,
+) => assessRequest(evidence, [key]).suspicion;
+
+test('a request is refused after three ends without an answer', t => {
+  const evidence = evidenceOf([crash(100, ['a', 'b']), crash(200, ['a'])]);
+  t.is(suspicionOf(evidence, 'a'), Suspicion.suspect);
+  t.is(suspicionOf(evidence, 'c'), Suspicion.none);
+  mergeCrash(evidence, crash(300, ['a']));
+  t.is(suspicionOf(evidence, 'a'), Suspicion.culprit);
+  t.is(suspicionOf(evidence, 'b'), Suspicion.suspect);
+});
+
+test('a request that was answered starts anew', t => {
+  const evidence = evidenceOf([crash(100, ['a']), crash(200, ['a'])]);
+  clearSuspects(evidence, ['a']);
+  t.is(suspicionOf(evidence, 'a'), Suspicion.none);
+  mergeCrash(evidence, crash(300, ['a']));
+  t.is(suspicionOf(evidence, 'a'), Suspicion.suspect);
+});
+
+test('upstreams that end while a request runs on all of them count once', t => {
+  const times = [1_000, 1_010, 1_030, 1_040, 1_200];
+  const evidence = evidenceOf(times.map(at => crash(at, ['a'], 500)));
+  t.is(suspicionOf(evidence, 'a'), Suspicion.suspect);
+});
+
+test('a culprit is refused for longer after each further end', t => {
+  const crashes = [1, 2, 3, 4].map(index => crash(index * 100, ['a']));
+  const refusalMs = (count: number) => {
+    const {refusedUntil} = assessRequest(evidenceOf(crashes.slice(0, count)), [
+      'a',
+    ]);
+    return refusedUntil - count * 100;
+  };
+  t.is(refusalMs(4), refusalMs(3) * 2);
+});
+
+test('evidence ends some time after the last end', t => {
+  const evidence = evidenceOf([1, 2, 3].map(index => crash(index, ['a'], 0)));
+  dropOldCrashes(evidence, MINUTE_MS);
+  t.is(suspicionOf(evidence, 'a'), Suspicion.culprit);
+  dropOldCrashes(evidence, 11 * MINUTE_MS);
+  t.is(suspicionOf(evidence, 'a'), Suspicion.none);
+  t.is(evidence.digest, 0);
+});
+
+test('the number of ends and of suspects is bounded', t => {
+  const keys = Array.from({length: 2_000}, (_, index) => `k${index}`);
+  const evidence = evidenceOf(
+    keys.map((_, index) => crash(index, index === 0 ? [] : [`k${index}`])),
+  );
+  dropOldCrashes(evidence, keys.length);
+  t.true(evidence.crashes.size <= 64);
+  mergeCrash(evidence, crash(5_000, keys));
+  t.true(evidence.crashes.get('u@5000')!.suspects.size <= 256);
+});
+
+const suspect = fc.record({
+  runMs: fc.integer({min: 0, max: 500}),
+  cleared: fc.boolean(),
+});
+const anyCrash = fc.record({
+  upstream: fc.constantFrom('u1@1', 'u2@1', 'u3@1'),
+  at: fc.integer({min: 0, max: 1_000}),
+  suspects: fc
+    .dictionary(fc.constantFrom('a', 'b', 'c'), suspect)
+    .map(suspects => new Map(Object.entries(suspects))),
+});
+
+const contentOf = ({crashes}: ReturnType<typeof createCrashEvidence>) =>
+  Object.fromEntries(
+    [...crashes].map(([upstream, {at, suspects}]) => [
+      upstream,
+      {at, suspects: Object.fromEntries(suspects)},
+    ]),
+  );
+
+test('evidence is the same in whatever order it is merged, and how often', t => {
+  fc.assert(
+    fc.property(
+      fc.array(anyCrash, {maxLength: 8}),
+      fc.array(fc.nat(7)),
+      (crashes, again) => {
+        const repeated = again.flatMap(index => crashes[index] ?? []);
+        const first = evidenceOf(crashes);
+        const second = evidenceOf([...crashes].reverse().concat(repeated));
+        t.deepEqual(contentOf(first), contentOf(second));
+        return first.digest === second.digest;
+      },
+    ),
+  );
+});
+
+test('evidence that differs has another digest', t => {
+  fc.assert(
+    fc.property(anyCrash, fc.constantFrom('a', 'b', 'c'), (one, key) => {
+      const evidence = evidenceOf([one]);
+      const {digest} = evidence;
+      const changed = one.suspects.get(key)?.cleared === false;
+      clearSuspects(evidence, [key]);
+      return changed ? evidence.digest !== digest : evidence.digest === digest;
+    }),
+  );
+  t.pass();
+});
+
+test('whatever sound requests run beside it, only the culprit is refused', t => {
+  const sound = fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd', 'e'));
+  fc.assert(
+    fc.property(fc.array(sound, {minLength: 3, maxLength: 12}), beside => {
+      const evidence = createCrashEvidence();
+      for (const [index, keys] of beside.entries()) {
+        mergeCrash(evidence, crash(index * 1_000, ['culprit', ...keys]));
+        // Sound requests are answered at another upstream.
+        clearSuspects(evidence, keys);
+      }
+      return (
+        suspicionOf(evidence, 'culprit') === Suspicion.culprit &&
+        beside.flat().every(key => suspicionOf(evidence, key) === 'none')
+      );
+    }),
+  );
+  t.pass();
+});
