Let a follower read the store once its confirmation is stale

Callers may have been handled by an older configuration for 2.7 s after a change was acknowledged, 0.7 s longer than allowed.

Cause: a follower waits up to 0.9 s for a source that is silent, and tried all other sources before the store. When several watchers fall silent at the same moment (loss of power, several frozen nodes), the waits add up. The class of fault is a time limit for each step where the whole has one.

Change: a call to a source ends once the confirmation is stale, and the next call goes to the store, which no other node can delay. Relayed confirmations extend the time as before.

--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -47,6 +47,8 @@
 const MIN_SOURCE_WAIT_MS = 400;
 const MAX_SOURCE_WAIT_MS = 2_000;
 const SOURCE_WAIT_PER_NODE_MS = 30;
+/** Time for which such a call may go on although the confirmation is stale. */
+const MIN_SOURCE_CALL_MS = 200;
 /** Time-out of such a call beyond its wait, milliseconds. */
 const SOURCE_MARGIN_MS = 500;
 /** Time for which a source is skipped; doubles with each failed call. */
@@ -251,6 +253,27 @@
   return Math.min(MAX_SOURCE_WAIT_MS, Math.max(MIN_SOURCE_WAIT_MS, waitMs));
 }
 
+function isConfirmationStale(node: EntryNode): boolean {
+  return confirmationAge(node) >= staleConfirmationMs(node);
+}
+
+/**
+ * Stops following a source once the confirmation is stale. Confirmations that
+ * other nodes relay meanwhile extend the time.
+ */
+function abandonWhenStale(node: EntryNode): () => void {
+  const check = () => {
+    if (isConfirmationStale(node))
+      return node.following.abandon?.(
+        'no answer before the confirmation is stale',
+      );
+    const untilStaleMs = staleConfirmationMs(node) - confirmationAge(node);
+    timer = setTimeout(check, untilStaleMs);
+  };
+  let timer = setTimeout(check, MIN_SOURCE_CALL_MS);
+  return () => clearTimeout(timer);
+}
+
 /** Calls a source; ends early if the node stops following it. */
 async function callSource(
   node: EntryNode,
@@ -268,7 +291,9 @@
     {era: feed.era, revision: feed.revision!, waitMs},
     waitMs + SOURCE_MARGIN_MS,
   );
+  const stopTimer = abandonWhenStale(node);
   const changes = await Promise.race([called, abandoned]);
+  stopTimer();
   following.abandon = undefined;
   return changes;
 }
@@ -319,7 +344,9 @@
 }
 
 async function followOnce(node: EntryNode): Promise<void> {
-  const isStoreDue = isWatcher(node) && node.clock() >= node.following.retryAt;
+  // Further sources may be silent too, and a change must be in force in time.
+  const callsStore = isWatcher(node) || isConfirmationStale(node);
+  const isStoreDue = callsStore && node.clock() >= node.following.retryAt;
   const source = isStoreDue ? undefined : findSource(node);
   if (source) await pollSource(node, source.name, source.address);
   else await pollStore(node);
--- a/apps/router/test/entry/following.test.ts
+++ b/apps/router/test/entry/following.test.ts
@@ -12,7 +12,7 @@
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import {StoreBehavior} from '@parsleyarch/standins/keyspace';
 import test, {type ExecutionContext} from 'ava';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {
   call,
   closeSite,
@@ -85,9 +85,13 @@
 
 /** Starts a server that accepts connections and never responds. */
 async function startUnresponsive(t: ExecutionContext): Promise<URL> {
-  const server = createServer(() => {});
+  const sockets = new Set<Socket>();
+  const server = createServer(socket => sockets.add(socket));
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  t.teardown(() => void server.close());
+  t.teardown(() => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
   const {port} = server.address() as AddressInfo;
   return new URL(`http://127.0.0.1:${port}`);
 }
@@ -112,6 +116,32 @@
     t.true(acceptsKeys(watcher.node));
   }));
 
+for (const silent of [1, 2, 3])
+  test(`a change arrives in time when ${silent} of 3 watchers fall silent at once`, async t => {
+    const site = await startSite(1);
+    t.teardown(() => closeSite(site));
+    configure(site, [route()], TENANTS);
+    const {node: follower} = await startNode(site);
+    for (let i = silent; i < 3; i += 1)
+      await startNode(site, {node: `a-${i}`, failureDomain: `x-${i}`});
+    await until(() => follower.peers.client !== undefined);
+    const {host} = await startUnresponsive(t);
+    for (let i = 0; i < silent; i += 1) {
+      const failureDomain = i === 0 ? 'gulberg' : `x-${i}`;
+      const member = {address: host, failureDomain};
+      site.store.put(`router/nodes/a-${i}`, member);
+    }
+    await until(() => follower.members.size === 4);
+    // The node now calls the first of its sources.
+    await new Promise(resolve => setTimeout(resolve, 600));
+    const changedAt = performance.now();
+    configure(site, [route({path_prefix: '/e/'})], TENANTS);
+    await until(() => follower.routes?.table.routes[0].pathPrefix === '/e/');
+    t.true(
+      performance.now() - changedAt < follower.settings.configuration.applyMs,
+    );
+  });
+
 test('a follower refuses keys once its sources have lost the store', async t =>
   withFollowers(t, async (site, [follower]) => {
     t.is((await call(follower, {path: '/a/x', ...WITH_KEY})).status, 200);
