Show that a prompt segment may end one upstream after the other

Crashes are compared by whole requests only.

Change: a test with three nodes, six upstreams, requests with a fatal segment, and sound ones that share their customer and first segment.

--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -1,5 +1,6 @@
 /** Tests of requests that end every upstream which runs them. */
 import test, {type ExecutionContext} from 'ava';
+import type {ReceivedRequest} from '@parsleyarch/standins/runner';
 import {startCrashingUpstreams} from './crashing.js';
 import {
   call,
@@ -119,3 +120,41 @@
   t.is((await send(site, 0, 'sound')).status, 502);
   t.is(node.crashes.evidence.crashes.size, 0);
 });
+
+let prompts = 0;
+
+/** A request that shares all but the last part of its prompt with others. */
+const prompt = (segment: string): Call => {
+  prompts += 1;
+  const segments = `aa:800,${segment}:400,ff${prompts}:200`;
+  return {headers: {'x-parsleyarch-prompt-prefix': segments}};
+};
+
+const hasBadSegment = ({headers}: ReceivedRequest) =>
+  String(headers['x-parsleyarch-prompt-prefix']).includes('bad:');
+
+test('requests with a prompt segment that ends upstreams are refused by all nodes, and no others', async t => {
+  const site = await startNodes(t, 3);
+  const upstreams = await startCrashingUpstreams(site, 6, hasBadSegment);
+  await until(() => site.entries[0].node.upstreams.size === 6);
+  const sendPrompt = (index: number, segment: string) =>
+    send(site, index, `body ${index} ${prompts}`, prompt(segment));
+  for (let sent = 0; upstreams.ended.length < 5 && sent < 60; sent += 1) {
+    await Promise.all([
+      sendPrompt(sent, 'bad'),
+      sendPrompt(sent, `b${sent % 4}`),
+      sendPrompt(sent + 1, `b${sent % 3}`),
+    ]);
+    await wait(50);
+  }
+  await wait(CONTACT_MS);
+  const before = upstreams.received.length;
+  let served = 0;
+  for (let sent = 0; sent < 12; sent += 1) {
+    const sound = sendPrompt(sent, `b${sent % 5}`);
+    await sendPrompt(sent + 1, 'bad');
+    if ((await sound).status === 200) served += 1;
+  }
+  t.true(upstreams.received.length - before <= MAX_LATER_SENDS);
+  t.is(served, 12);
+});
