Refuse requests with a prompt segment that ends upstreams

Cause: crashes were compared by whole requests. Segments are what these requests have in common, and sound requests share the others.

Change: the segments of a request but the last are suspects too. An answer clears them, also one in the 10 s before, unless it ends with its connection. The suspect that explains the most ends is the culprit; one that more requests share has to be in more ends. Ends more than 50 ms apart count each, though the runs overlap.

Ruled out: the most specific suspect first.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -40,6 +40,8 @@
 /** The body of an answer while it is received. */
 export interface AnswerBody {
   readonly send: Send;
+  /** Whether the end of the connection is the end of the body. */
+  readonly closeDelimited: boolean;
   readonly message: http.IncomingMessage;
   /**
    * Whether the connection broke. A body that is delimited by the end of the
@@ -178,14 +180,15 @@
     });
     let body: AnswerBody | undefined;
     outgoing.on('response', message => {
-      body = {send, message, broken: false};
-      if (isCloseDelimited(message)) detectReset(body);
+      const closeDelimited = isCloseDelimited(message);
+      body = {send, closeDelimited, message, broken: false};
+      if (closeDelimited) detectReset(body);
       upstream.pendingWork -= addedWork;
       upstream.streaming += 1;
       resolve(classifyAnswer(exchange, body));
     });
     outgoing.on('error', error => {
-      if (body && isCloseDelimited(body.message)) body.broken = true;
+      if (body?.closeDelimited) body.broken = true;
       fail(error);
     });
     outgoing.on('close', () => {
--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -11,6 +11,7 @@
   mergeCrash,
   Suspicion,
   type Assessment,
+  type Crash,
   type CrashEvidence,
 } from '@parsleyarch/policy/crash-evidence';
 import {hashName, listFirstMembers} from '@parsleyarch/policy/rendezvous';
@@ -18,7 +19,7 @@
 import {wait} from '@parsleyarch/lifecycle/process';
 import {createHash} from 'node:crypto';
 import * as net from 'node:net';
-import type {Send} from './attempt.js';
+import type {AnswerBody, Send} from './attempt.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {isLeaving} from './notices.js';
@@ -32,11 +33,17 @@
 const TRIAL_INTERVAL_MS = 5_000;
 /** Number of upstreams that may end under one request before it is given up. */
 const MAX_CRASHES_OF_REQUEST = 2;
+/** Time for which an answer shows that requests like it end no upstreams. */
+const SOUND_MS = 10_000;
+/** Number of keys whose answers are remembered. */
+const MAX_ANSWERED_COUNT = 2_000;
 const FINGERPRINT_CHAR_COUNT = 16;
 
 /** What a node knows of upstreams that ended. */
 export interface Crashes {
   readonly evidence: CrashEvidence;
+  /** When this node last received a complete answer, by key. */
+  readonly answeredAt: Map<string, number>;
   /** Probes in progress, by incarnation of the upstream. */
   readonly probes: Map<string, Promise<boolean>>;
   /** Digest of the evidence of other nodes at the last exchange, by node. */
@@ -48,6 +55,7 @@
 export function createCrashes(): Crashes {
   return {
     evidence: createCrashEvidence(),
+    answeredAt: new Map(),
     probes: new Map(),
     digests: new Map(),
     trials: new Map(),
@@ -124,11 +132,15 @@
   if (!(await hasEnded(node, upstream))) return;
   const {caller, service, route, customer, body} = exchange;
   exchange.crashes += 1;
-  const suspect = {runMs: at - startedAt, cleared: false};
-  mergeCrash(node.crashes.evidence, {
+  const runMs = at - startedAt;
+  const suspects = listKeys(exchange).map(
+    (key, index, {length}) =>
+      [key, {runMs, specificity: length - index, cleared: false}] as const,
+  );
+  addCrash(node, {
     upstream: incarnationKey(upstream),
     at,
-    suspects: new Map(listKeys(exchange).map(key => [key, suspect])),
+    suspects: new Map(suspects),
   });
   node.metrics.crashes.inc({service});
   node.logDecision('upstream ended', {
@@ -145,14 +157,20 @@
 }
 
 /**
- * What requests may have in common that ends upstreams, the narrowest first.
- * Callers send such a request again with the same path, customer and body.
+ * What requests may have in common that ends upstreams, the most specific first.
+ * Callers send such a request again with the same path, customer and body. The last
+ * segment of a prompt belongs to the request itself.
  */
 function listKeys(exchange: Exchange): readonly string[] {
-  exchange.crashKeys ??= [fingerprint(exchange)];
+  exchange.crashKeys ??= [fingerprint(exchange), ...segmentKeys(exchange)];
   return exchange.crashKeys;
 }
 
+function segmentKeys({caller}: Exchange): string[] {
+  const shared = caller.promptSegments.slice(0, -1);
+  return shared.map(({id}) => `segment ${id}`).reverse();
+}
+
 function fingerprint({target, customer, body}: Exchange): string {
   const hash = createHash('sha256').update(
     JSON.stringify([target, customer?.name ?? '']),
@@ -160,12 +178,39 @@
   return hash.update(body).digest('hex').slice(0, FINGERPRINT_CHAR_COUNT);
 }
 
-/** Called when an upstream has completed an answer, whatever its status. */
-export function recordSurvival(node: EntryNode, exchange: Exchange): void {
-  const {evidence} = node.crashes;
+/**
+ * Called when an upstream has completed a successful answer. One that ends with its
+ * connection may have been cut off by a crash.
+ */
+export function recordSurvival(
+  node: EntryNode,
+  exchange: Exchange,
+  {closeDelimited}: AnswerBody,
+): void {
+  if (closeDelimited) return;
+  const {evidence, answeredAt} = node.crashes;
+  for (const key of listKeys(exchange)) {
+    // Re-insertion keeps the map in order of use, so the oldest are evicted first.
+    answeredAt.delete(key);
+    answeredAt.set(key, node.clock());
+  }
+  for (const key of answeredAt.keys()) {
+    if (answeredAt.size <= MAX_ANSWERED_COUNT) break;
+    answeredAt.delete(key);
+  }
   if (evidence.crashes.size > 0) clearSuspects(evidence, listKeys(exchange));
 }
 
+/** Adds a crash, and clears the suspects that this node knows to be sound. */
+function addCrash({crashes}: EntryNode, crash: Crash): void {
+  const {evidence, answeredAt} = crashes;
+  mergeCrash(evidence, crash);
+  for (const key of crash.suspects.keys()) {
+    const at = answeredAt.get(key);
+    if (at !== undefined) clearSuspects(evidence, [key], at + SOUND_MS);
+  }
+}
+
 /** Assesses a request by the crashes that this node knows of. */
 export function assessExchange(
   {crashes: {evidence}}: EntryNode,
@@ -234,9 +279,8 @@
 
 /** Adds what another node knows of crashes. */
 export function mergeCrashes(node: EntryNode, {crashes}: CrashReport): void {
-  const {evidence} = node.crashes;
   for (const {upstream, ageMs, suspects} of crashes) {
-    mergeCrash(evidence, {
+    addCrash(node, {
       upstream,
       at: node.clock() - ageMs,
       suspects: new Map(suspects.map(({key, ...suspect}) => [key, suspect])),
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -103,7 +103,7 @@
     progress.reason = 'answer ended early or was too large';
     return Step.retry;
   }
-  recordSurvival(node, exchange);
+  if (answer.status < 300) recordSurvival(node, exchange, incoming);
   if (answer.status >= 500 && isRepeatable(exchange)) {
     progress.errorAnswer = {answer, body};
     progress.reason = `upstream answered ${answer.status}`;
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -142,7 +142,7 @@
   while (body) {
     const end = await relayEvents(node, exchange, body, splitter);
     if (end === StreamEnd.complete) {
-      recordSurvival(node, exchange);
+      recordSurvival(node, exchange, body);
       if (exchange.ended) return true;
       exchange.ended = true;
       response.end();
--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -158,3 +158,44 @@
   t.true(upstreams.received.length - before <= MAX_LATER_SENDS);
   t.is(served, 12);
 });
+
+test('a stream of requests with a fatal segment ends few upstreams, and sound ones are served', async t => {
+  const site = await startNodes(t, 4);
+  let started = 0;
+  const prefillMs = () => {
+    started += 1;
+    return 100 + ((started * 37) % 300);
+  };
+  const upstreams = await startCrashingUpstreams(
+    site,
+    6,
+    hasBadSegment,
+    prefillMs,
+  );
+  await until(() => site.entries[0].node.upstreams.size === 6);
+  let fifthAt = Infinity;
+  const sound: {at: number; answer: Promise<{status: number}>}[] = [];
+  const startedAt = performance.now();
+  for (let sent = 0; performance.now() - startedAt < 8_000; sent += 1) {
+    void send(site, sent, `bad ${sent}`, prompt('bad'));
+    for (let beside = 0; beside < 3; beside += 1) {
+      const answer = send(
+        site,
+        sent + beside,
+        `body ${sent}`,
+        prompt(`b${beside}`),
+      );
+      sound.push({at: performance.now(), answer});
+    }
+    await wait(100);
+    if (upstreams.ended.length >= 5 && fifthAt === Infinity)
+      fifthAt = performance.now();
+  }
+  const later = upstreams.received.filter(({at}) => at > fifthAt + CONTACT_MS);
+  t.true(later.length <= MAX_LATER_SENDS);
+  const laterSound = sound.filter(({at}) => at > startedAt + 5_000);
+  const answers = await Promise.all(laterSound.map(({answer}) => answer));
+  const served = answers.filter(({status}) => status === 200);
+  t.true(served.length >= answers.length / 2);
+  t.log(`${upstreams.ended.length} upstreams ended`);
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -159,13 +159,15 @@
   readonly upstream: string;
   readonly incarnation: number;
 }
-/** A request that an upstream served when it ended. */
+/** A request, or a segment of its prompt, that an upstream served when it ended. */
 export interface CrashSuspect {
   readonly key: string;
   /** Whether an upstream has answered it since. */
   readonly cleared: boolean;
   /** Time that it had run there, milliseconds. */
   readonly runMs: number;
+  /** Higher for suspects that fewer requests share. */
+  readonly specificity: number;
 }
 /** An upstream that ended while it served requests. */
 export interface CrashedUpstream {
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -1,8 +1,10 @@
 /**
- * Finds requests that end every upstream which runs them. All requests that an
- * upstream served when it ended are suspects, on whichever node they were. A
- * suspect that is answered later is cleared; one that was in several ends and in no
- * answer since is the culprit, and is refused for some time. Evidence of several
+ * Finds requests that end every upstream which runs them, or what such requests
+ * have in common: a segment of their prompts. All requests that an upstream served
+ * when it ended are suspects, with their segments, on whichever node they were. A
+ * suspect that is answered is cleared; one that was in several ends and in no answer
+ * since is a culprit, and is refused for some time. Of suspects that were in nearly
+ * the same ends the most specific one is the culprit. Evidence of several
  * nodes merges in any order to the same state: a crash is counted once for an
  * incarnation of an upstream. Meant for any load; its size grows with crashes, not
  * with requests or nodes.
@@ -11,6 +13,10 @@
 
 /** Number of ends without an answer from which a suspect is refused. */
 const CULPRIT_CRASH_COUNT = 3;
+/** The same from which it is sent only to one upstream. */
+const SUSPECT_CRASH_COUNT = 2;
+/** Longest time between two ends that may have a common cause. */
+const COMMON_CAUSE_MS = 50;
 /** Time for which a culprit is refused after its latest end; doubles with each. */
 const MIN_REFUSAL_MS = 30_000;
 /** Time for which an end is remembered. */
@@ -24,6 +30,8 @@
 export interface Suspect {
   /** Time that it had run there, milliseconds; that of the shortest run. */
   readonly runMs: number;
+  /** Higher for suspects that fewer requests share. */
+  readonly specificity: number;
   /** Whether an upstream has answered it since. */
   readonly cleared: boolean;
 }
@@ -46,6 +54,11 @@
 /** Crashes that a node knows of. */
 export interface CrashEvidence {
   readonly crashes: Map<string, KnownCrash>;
+  /** Culprits by key, and the digest of the evidence that they follow from. */
+  culprits?: {
+    readonly digest: number;
+    readonly assessments: ReadonlyMap<string, Assessment>;
+  };
   /** Equal for evidence with the same crashes, suspects and clearances. */
   digest: number;
 }
@@ -57,9 +70,9 @@
 function hashSuspect(
   {upstream}: Crash,
   key: string,
-  {runMs, cleared}: Suspect,
+  {runMs, specificity, cleared}: Suspect,
 ): number {
-  return hashName(`${upstream} ${key} ${runMs} ${cleared}`);
+  return hashName(`${upstream} ${key} ${runMs} ${specificity} ${cleared}`);
 }
 
 function mergeSuspect(
@@ -73,6 +86,7 @@
   if (!known && suspects.size >= MAX_SUSPECT_COUNT) return;
   const merged = {
     runMs: Math.min(known?.runMs ?? Infinity, Math.round(suspect.runMs)),
+    specificity: Math.max(known?.specificity ?? 0, suspect.specificity),
     cleared: suspect.cleared || (known?.cleared ?? false),
   };
   if (known) evidence.digest ^= hashSuspect(crash, key, known);
@@ -112,13 +126,18 @@
     mergeSuspect(evidence, known, key, suspect);
 }
 
-/** Clears suspects of all known crashes, as an upstream has answered them. */
+/**
+ * Clears suspects of the crashes up to a time, as an upstream has answered them
+ * then or a short time before.
+ */
 export function clearSuspects(
   evidence: CrashEvidence,
-  keys: readonly string[],
+  keys: Iterable<string>,
+  until = Infinity,
 ): void {
-  for (const crash of evidence.crashes.values()) {
-    for (const key of keys) {
+  for (const key of keys) {
+    for (const crash of evidence.crashes.values()) {
+      if (crash.at > until) continue;
       const known = crash.suspects.get(key);
       if (known && !known.cleared)
         mergeSuspect(evidence, crash, key, {...known, cleared: true});
@@ -126,21 +145,24 @@
   }
 }
 
+/** Crashes in which a suspect was not cleared, the earliest one first. */
+function listCrashes({crashes}: CrashEvidence, key: string): KnownCrash[] {
+  return [...crashes.values()]
+    .filter(({suspects}) => suspects.get(key)?.cleared === false)
+    .sort((a, b) => a.at - b.at);
+}
+
 /**
- * Times at which upstreams ended under a suspect, in order. Only runs that began
- * after the end before are counted: upstreams that end while a suspect runs on all
- * of them may have a common cause, such as a loss of power.
+ * Times of crashes that count for a suspect. Upstreams that end at nearly the same
+ * time while it runs on all of them may have a common cause, such as a loss of power,
+ * and count once.
  */
-function listEnds({crashes}: CrashEvidence, key: string): number[] {
-  const runs: {readonly begun: number; readonly at: number}[] = [];
-  for (const {at, suspects} of crashes.values()) {
-    const suspect = suspects.get(key);
-    if (suspect && !suspect.cleared) runs.push({begun: at - suspect.runMs, at});
-  }
-  runs.sort((a, b) => a.at - b.at);
+function countedEnds(crashes: readonly KnownCrash[], key: string): number[] {
   const ends: number[] = [];
-  for (const {begun, at} of runs) {
-    if (begun > (ends.at(-1) ?? -Infinity)) ends.push(at);
+  for (const {at, suspects} of crashes) {
+    const begun = at - (suspects.get(key)?.runMs ?? 0);
+    const last = ends.at(-1) ?? -Infinity;
+    if (begun > last || at - last > COMMON_CAUSE_MS) ends.push(at);
   }
   return ends;
 }
@@ -169,27 +191,78 @@
   refusedUntil: -Infinity,
 };
 
-function assessKey(evidence: CrashEvidence, key: string): Assessment {
-  const ends = listEnds(evidence, key);
-  const last = ends.at(-1);
-  if (last === undefined) return NO_SUSPICION;
-  if (ends.length < CULPRIT_CRASH_COUNT)
-    return {suspicion: Suspicion.suspect, key, refusedUntil: -Infinity};
+function createCulprit(key: string, ends: readonly number[]): Assessment {
   const refusalMs = MIN_REFUSAL_MS * 2 ** (ends.length - CULPRIT_CRASH_COUNT);
-  const refusedUntil = last + refusalMs;
+  const refusedUntil = (ends.at(-1) ?? 0) + refusalMs;
   return {suspicion: Suspicion.culprit, key, refusedUntil};
 }
 
-/** Assesses a request by its keys, the narrowest one first. */
+/** A suspect with the crashes in which it was not cleared. */
+interface Candidate {
+  readonly key: string;
+  readonly specificity: number;
+  readonly crashes: readonly KnownCrash[];
+  readonly ends: readonly number[];
+}
+
+function listCandidates(evidence: CrashEvidence): Candidate[] {
+  const specificities = new Map<string, number>();
+  for (const {suspects} of evidence.crashes.values()) {
+    for (const [key, {specificity, cleared}] of suspects) {
+      if (!cleared) specificities.set(key, specificity);
+    }
+  }
+  return [...specificities].map(([key, specificity]) => {
+    const crashes = listCrashes(evidence, key);
+    return {key, specificity, crashes, ends: countedEnds(crashes, key)};
+  });
+}
+
+/**
+ * Orders candidates by how well they explain the crashes. One that more requests
+ * share has to be in more ends, for each step by one: sound requests that share
+ * segments with a culprit are in flight when it ends an upstream.
+ */
+function byExplanation(a: Candidate, b: Candidate): number {
+  const scoreOf = ({ends, specificity}: Candidate) => ends.length + specificity;
+  return scoreOf(b) - scoreOf(a) || b.specificity - a.specificity;
+}
+
+/** Culprits by key. A crash that one of them explains counts for no other one. */
+function findCulprits(
+  evidence: CrashEvidence,
+): ReadonlyMap<string, Assessment> {
+  const {digest, culprits} = evidence;
+  if (culprits?.digest === digest) return culprits.assessments;
+  const assessments = new Map<string, Assessment>();
+  const explained = new Set<KnownCrash>();
+  const candidates = listCandidates(evidence)
+    .filter(({ends}) => ends.length >= CULPRIT_CRASH_COUNT)
+    .sort(byExplanation);
+  for (const {key, crashes, ends} of candidates) {
+    const unexplained = crashes.filter(crash => !explained.has(crash));
+    if (countedEnds(unexplained, key).length < CULPRIT_CRASH_COUNT) continue;
+    assessments.set(key, createCulprit(key, ends));
+    for (const crash of crashes) explained.add(crash);
+  }
+  evidence.culprits = {digest, assessments};
+  return assessments;
+}
+
+/** Assesses a request by its keys, the most specific one first. */
 export function assessRequest(
   evidence: CrashEvidence,
   keys: readonly string[],
 ): Assessment {
-  let found = NO_SUSPICION;
+  const culprits = findCulprits(evidence);
+  for (const key of keys) {
+    const culprit = culprits.get(key);
+    if (culprit) return culprit;
+  }
   for (const key of keys) {
-    const assessment = assessKey(evidence, key);
-    if (assessment.suspicion === Suspicion.culprit) return assessment;
-    if (found.suspicion === Suspicion.none) found = assessment;
+    const ends = countedEnds(listCrashes(evidence, key), key);
+    if (ends.length >= SUSPECT_CRASH_COUNT)
+      return {suspicion: Suspicion.suspect, key, refusedUntil: -Infinity};
   }
-  return found;
+  return NO_SUSPICION;
 }
