Treat a stream that closes before its first event as broken off

Callers may have received an empty stream as complete when an upstream crashed.

Cause: an answer without a length or chunks ends with its connection. A crash between the head and the first event looks like the end of a stream without events.

Change: such a stream without any event counts as broken off, and is resumed where the route allows it. Streams that end inside an event already were.

Result: 'a stream without a length that ends before its first event is resumed' failed before and passes, with two more tests of such streams.

--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -88,7 +88,9 @@
   } finally {
     gaps.stop();
   }
-  return isComplete(body) && !splitter.hasPartial()
+  // A connection that closes before the first event cannot tell an end from a crash.
+  const isCutOff = body.closeDelimited && splitter.eventCount === 0;
+  return isComplete(body) && !splitter.hasPartial() && !isCutOff
     ? StreamEnd.complete
     : StreamEnd.brokenOff;
 }
--- a/apps/router/test/entry/streams.test.ts
+++ b/apps/router/test/entry/streams.test.ts
@@ -135,6 +135,54 @@
   },
 );
 
+/** Streams bytes without a length or chunks, and ends with the connection. */
+const closeDelimited =
+  (text: string): Script =>
+  (seen, response) => {
+    response.useChunkedEncodingByDefault = false;
+    openStream(seen, response, {connection: 'close'});
+    response.end(text);
+  };
+
+/** Answers the first request by one script and later ones by another. */
+function answerInTurn(first: Script, later: Script): void {
+  let count = 0;
+  for (const runner of site.runners)
+    runner.script = (...request) => {
+      count += 1;
+      return (count === 1 ? first : later)(...request);
+    };
+}
+
+for (const [label, text] of Object.entries({
+  'inside an event': `${event(1)}id: 2\ndata: e`,
+  'before its first event': '',
+}))
+  test.serial(
+    `a stream without a length that ends ${label} is resumed`,
+    async t => {
+      answerInTurn(closeDelimited(text), sendAll);
+      const answer = await post();
+      t.is(answer.body, allEvents);
+      t.true(answer.complete);
+      answerInTurn(closeDelimited(text), sendAll);
+      t.false((await post('/plain/x')).complete);
+    },
+  );
+
+test.serial(
+  'a stream without a length that ends after an event is complete',
+  async t => {
+    for (const runner of site.runners)
+      runner.script = closeDelimited(allEvents);
+    for (const path of ['/a/x', '/plain/x']) {
+      const answer = await post(path);
+      t.is(answer.body, allEvents);
+      t.true(answer.complete);
+    }
+  },
+);
+
 test.serial('a resuming caller gets the events after its last', async t => {
   for (const runner of site.runners) runner.script = sendAll;
   const answer = await post('/a/x', {'last-event-id': '7'});
