--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -177,7 +177,8 @@
   recordConfirmation(node, sentAt);
 }
 
-async function pollStore(node: EntryNode): Promise<void> {
+/** Reads or watches the store once, as the state of the feed requires. */
+export async function pollStore(node: EntryNode): Promise<void> {
   const {feed, following} = node;
   if (node.clock() < following.retryAt) return wait(POLL_MS);
   updateSource(node, undefined);
@@ -191,7 +192,8 @@
   return {key, revision, value: removed ? undefined : value};
 }
 
-function applyRelayedChanges(
+/** Applies the answer of a source to a call sent at a time of the continuous clock. */
+export function applyRelayedChanges(
   node: EntryNode,
   changes: Changes,
   sentAt: number,
