--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -265,3 +265,40 @@
   t.true(known >= 1_500);
   t.true(elapsed() >= known - 100);
 });
+
+const STREAM_EVENT_COUNT = 6;
+
+/** Sends its head at once, and then an event at each interval. */
+const streamEvery =
+  (intervalMs: number): Script =>
+  async (request, response) => {
+    response.writeHead(200, {
+      ...createSeal(request),
+      'content-type': 'text/event-stream',
+    });
+    for (let id = 1; id <= STREAM_EVENT_COUNT; id += 1) {
+      response.write(`id: ${id}\ndata: e\n\n`);
+      await new Promise(resolve => setTimeout(resolve, intervalMs));
+    }
+    response.end();
+  };
+
+test('a version whose streams are slow between events is not completed', async t => {
+  const site = await startRollout(t, streamEvery(160));
+  for (const runner of site.runners.slice(0, 2))
+    runner.script = streamEvery(20);
+  const kind = {kind: 'stream', gap_aim_ms: 800, goal_ms: 2_000};
+  configure(site, [route({...kind, timeout_ms: 6_000})]);
+  const isOver = () =>
+    readStatus(site) && readStatus(site)?.state !== 'running';
+  const end = performance.now() + DURATION_S * 1_000;
+  for (let sent = 0; !isOver() && performance.now() < end; sent += 1) {
+    const headers = {
+      session: `one-${sent}`,
+      'x-parsleyarch-deadline-ms': '6000',
+    };
+    void call(site.entries[sent % 2], {headers});
+    await new Promise(resolve => setTimeout(resolve, 30));
+  }
+  t.is(readStatus(site)?.state, 'reverted');
+});
