Count streams that are slow between events against their version

Callers on a bad version got streams with gaps of 90 to 160 ms between events (median by route) where the old version had 30 to 42 ms, and the version was completed: a send counted as slow by the time to its head alone (fresh 4 of 64 slow, old 8 of 417, at the step to the full share).

The gaps between events are measured until the pace of a stream is known: after four gaps, or earlier if they already take longer than four slow ones, or at the end. They are compared with the mean gap of the old version on the same route and model. Until then the stream counts for errors, but not for latency (field untimed of a report; 0 in reports of earlier nodes). Time in which the caller does not read is excluded; a stream given up for its stall is slow.

--- a/apps/router/src/entry/rollout-view.ts
+++ b/apps/router/src/entry/rollout-view.ts
@@ -25,6 +25,7 @@
           seen: tally.seen + (known?.seen ?? 0),
           failed: tally.failed + (known?.failed ?? 0),
           slow: tally.slow + (known?.slow ?? 0),
+          untimed: tally.untimed + (known?.untimed ?? 0),
         });
       }
     }
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -16,6 +16,7 @@
 import {hasUntriedUpstream} from './exclusions.js';
 import {selectUpstream} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
+import {watchPace} from './stream-pace.js';
 
 /** Whether a stream that makes no events may go on at another upstream. */
 function canMove(node: EntryNode, exchange: Exchange): boolean {
@@ -70,23 +71,31 @@
 async function relayEvents(
   node: EntryNode,
   exchange: Exchange,
+  model: string | undefined,
   body: AnswerBody,
   splitter: EventSplitter,
 ): Promise<StreamEnd> {
   const gaps = watchGaps(node, exchange, body);
+  const pace = watchPace(node, exchange, body, model);
+  const relayedCount = splitter.eventCount;
   try {
     for await (const chunk of body.message as AsyncIterable<Buffer>) {
       const known = splitter.eventCount;
       const events = splitter.split(chunk);
       if (splitter.isTooLarge()) return StreamEnd.abandoned;
+      pace.update(splitter.eventCount - relayedCount);
       // Time in which the caller does not read is no gap of the stream.
-      if (await writeBytes(exchange.response, events)) gaps.restart();
-      else if (splitter.eventCount > known) gaps.restart();
+      const writtenAt = node.clock();
+      if (await writeBytes(exchange.response, events)) {
+        pace.exclude(node.clock() - writtenAt);
+        gaps.restart();
+      } else if (splitter.eventCount > known) gaps.restart();
     }
   } catch {
     return gaps.hasStalled() ? StreamEnd.abandoned : StreamEnd.brokenOff;
   } finally {
     gaps.stop();
+    pace.end(gaps.hasStalled());
   }
   // A connection that closes before the first event cannot tell an end from a crash.
   const isCutOff = body.closeDelimited && splitter.eventCount === 0;
@@ -142,7 +151,7 @@
   const splitter = createEventSplitter(caller.lastEventId);
   let body: AnswerBody | undefined = firstBody;
   while (body) {
-    const end = await relayEvents(node, exchange, body, splitter);
+    const end = await relayEvents(node, exchange, model, body, splitter);
     if (end === StreamEnd.complete) {
       recordSurvival(node, exchange, body);
       if (exchange.ended) return true;
--- a/apps/router/src/entry/version-tallies.ts
+++ b/apps/router/src/entry/version-tallies.ts
@@ -6,8 +6,13 @@
   type VersionTally,
 } from '@parsleyarch/policy/rollout';
 import {Phase} from '@parsleyarch/policy/rollout-plan';
-import type {Outcome} from './attempt.js';
-import type {Exchange} from './exchange.js';
+import {
+  judgePace,
+  Pace,
+  type StreamGaps,
+} from '@parsleyarch/policy/stream-pace';
+import type {Outcome, Send} from './attempt.js';
+import {isStream, type Exchange} from './exchange.js';
 import {keptSessionsOf} from './kept-sessions.js';
 import type {EntryNode, KnownOrder, UpstreamState} from './node.js';
 import {localElapsedSinceOrder, findPlan, type LocalTally} from './versions.js';
@@ -16,7 +21,7 @@
 const SLOW_LATENCY_RATIO = 3;
 /** Latencies up to this one never count as slow. */
 const MIN_SLOW_LATENCY_MS = 150;
-/** Weight of the newest latency in the moving average. */
+/** Weight of the newest value in a moving average. */
 const BASELINE_SMOOTHING_RATIO = 0.05;
 
 /** Outcome of a send, for the comparison of versions. */
@@ -27,6 +32,16 @@
   readonly model: string;
 }
 
+function updateBaseline(
+  baselines: Map<string, number>,
+  key: string,
+  value: number,
+): void {
+  const baseline = baselines.get(key) ?? value;
+  const change = (value - baseline) * BASELINE_SMOOTHING_RATIO;
+  baselines.set(key, baseline + change);
+}
+
 /**
  * Updates the baseline with latencies of the old version, and without an order
  * with those of any version; returns whether this one is slow.
@@ -39,16 +54,27 @@
 ): boolean {
   const {latencyBaselines} = node.versions;
   const baselineMs = latencyBaselines.get(key) ?? tookMs;
-  if (!fresh)
-    latencyBaselines.set(
-      key,
-      baselineMs + (tookMs - baselineMs) * BASELINE_SMOOTHING_RATIO,
-    );
+  if (!fresh) updateBaseline(latencyBaselines, key, tookMs);
   return (
     tookMs > Math.max(MIN_SLOW_LATENCY_MS, baselineMs * SLOW_LATENCY_RATIO)
   );
 }
 
+function baselineKey({route}: Exchange, model = ''): string {
+  return `${route.name}/${model}`;
+}
+
+function isEventStream(
+  exchange: Exchange,
+  outcome: Outcome,
+): outcome is Extract<Outcome, {kind: 'answer'}> {
+  return (
+    outcome.kind === 'answer' &&
+    outcome.answer.status < 300 &&
+    isStream(exchange)
+  );
+}
+
 function countSend(
   node: EntryNode,
   order: KnownOrder,
@@ -59,7 +85,13 @@
   tallies.set(order.revision, counts);
   const {id, version} = upstream.registered;
   const fresh = version === order.target;
-  const tally = counts.get(id) ?? {fresh, seen: 0, failed: 0, slow: 0};
+  const tally = counts.get(id) ?? {
+    fresh,
+    seen: 0,
+    failed: 0,
+    slow: 0,
+    untimed: 0,
+  };
   counts.set(id, tally);
   tally.seen += 1;
   return tally;
@@ -74,7 +106,7 @@
 ): void {
   const order = node.orders.get(exchange.service);
   const fresh = upstream.registered.version === order?.target;
-  const key = `${exchange.route.name}/${model}`;
+  const key = baselineKey(exchange, model);
   const answered = outcome.kind === 'answer';
   const timedOut = outcome.kind === 'lost' && outcome.tooLate;
   if (!answered && !timedOut) return;
@@ -86,9 +118,46 @@
     if (fresh) exchange.freshFailed = true;
   }
   if (slow || timedOut) tally.slow += 1;
+  else if (isEventStream(exchange, outcome)) {
+    tally.untimed += 1;
+    node.versions.untimedSends.set(outcome.body.send, tally);
+  }
   if (fresh) revertLocally(node, order);
 }
 
+/** What is known of the gaps between the events of a stream. */
+export interface StreamProgress {
+  readonly gaps: StreamGaps;
+  /** Whether no event follows. */
+  readonly isOver: boolean;
+}
+
+/** Counts a stream as slow or timely; returns whether its pace is known. */
+export function recordStreamGaps(
+  node: EntryNode,
+  exchange: Exchange,
+  send: Send,
+  model: string | undefined,
+  {gaps, isOver}: StreamProgress,
+): boolean {
+  const {gapBaselines, untimedSends} = node.versions;
+  const order = node.orders.get(exchange.service);
+  const fresh = send.registered.version === order?.target;
+  const key = baselineKey(exchange, model);
+  const baselineMs = gapBaselines.get(key);
+  const pace = judgePace(gaps, baselineMs ?? Infinity, isOver);
+  if (pace === Pace.unknown) return false;
+  if (!fresh && gaps.count > 0)
+    updateBaseline(gapBaselines, key, gaps.totalMs / gaps.count);
+  const tally = untimedSends.get(send);
+  if (!tally || baselineMs === undefined) return true;
+  untimedSends.delete(send);
+  tally.untimed -= 1;
+  if (pace === Pace.slow) tally.slow += 1;
+  if (order && fresh) revertLocally(node, order);
+  return true;
+}
+
 function addTally(sum: Tally, seen: number, bad: number): Tally {
   return {seen: sum.seen + seen, bad: sum.bad + bad};
 }
@@ -105,7 +174,7 @@
   for (const tally of tallies) {
     if (tally.fresh !== fresh) continue;
     error = addTally(error, tally.seen, tally.failed);
-    latency = addTally(latency, tally.seen, tally.slow);
+    latency = addTally(latency, tally.seen - tally.untimed, tally.slow);
   }
   return {error, latency, rating: EMPTY_SIGNAL_TALLY};
 }
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -6,6 +6,7 @@
   type RolloutPlan,
 } from '@parsleyarch/policy/rollout-plan';
 import {createHash} from 'node:crypto';
+import type {Send} from './attempt.js';
 import type {Exchange} from './exchange.js';
 import {
   isSessionKept,
@@ -32,6 +33,8 @@
   seen: number;
   failed: number;
   slow: number;
+  /** Streams that were neither slow to begin nor have made enough events. */
+  untimed: number;
 }
 
 /** A plan, and when this node received it. */
@@ -63,6 +66,10 @@
    * milliseconds. Excludes a version that is being rolled out.
    */
   readonly latencyBaselines: Map<string, number>;
+  /** The same of the mean gap between the events of a stream. */
+  readonly gapBaselines: Map<string, number>;
+  /** Counts to which streams belong whose pace is not known yet. */
+  readonly untimedSends: WeakMap<Send, LocalTally>;
 }
 
 export function createVersions(): Versions {
@@ -73,6 +80,8 @@
     kept: new Map(),
     locallyReverted: new Set(),
     latencyBaselines: new Map(),
+    gapBaselines: new Map(),
+    untimedSends: new WeakMap(),
   };
 }
 
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -100,6 +100,8 @@
   readonly seen: number;
   readonly failed: number;
   readonly slow: number;
+  /** Streams whose pace is not known yet. */
+  readonly untimed: number;
 }
 /** One node's observations of one roll-out. */
 export interface RolloutReport {
