Count each stream once for latency, by its head and its gaps

The pace of streams alone did not separate versions well enough.

A stream now counts once, when its pace is known or when it is dropped, as slow if its head or its gaps are; the usual time is a moving geometric mean.

'a stream that is dropped for a larger model counts by the time to its head' fails without the call ('dropped streams are not counted').

--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -24,6 +24,7 @@
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
 import {relayStream} from './streaming.js';
 import {assignSide, recordSessionEnd} from './versions.js';
+import {recordDroppedStream} from './version-tallies.js';
 
 /**
  * Interval of checks for an upstream while there is no candidate or all are cold
@@ -166,6 +167,7 @@
   if (larger === undefined)
     return handleStream(node, exchange, progress, answer, body);
   body.message.destroy();
+  recordDroppedStream(node, exchange, body);
   progress.discarded = {model, confidence};
   progress.model = larger;
   progress.reason = 'confidence too low';
--- a/apps/router/src/entry/stream-pace.ts
+++ b/apps/router/src/entry/stream-pace.ts
@@ -17,7 +17,7 @@
 export function watchPace(
   node: EntryNode,
   exchange: Exchange,
-  {send}: AnswerBody,
+  body: AnswerBody,
   model: string | undefined,
 ): PaceWatch {
   let startedAt = node.clock();
@@ -27,7 +27,7 @@
   const record = (gapCount: number, until: number, isOver: boolean) => {
     if (isKnown) return;
     const gaps = {count: gapCount, totalMs: until - startedAt};
-    isKnown = recordStreamGaps(node, exchange, send, model, {gaps, isOver});
+    isKnown = recordStreamGaps(node, exchange, body, model, {gaps, isOver});
   };
   return {
     update: count => {
--- a/apps/router/src/entry/version-tallies.ts
+++ b/apps/router/src/entry/version-tallies.ts
@@ -1,5 +1,6 @@
 /** Counts outcomes of both versions in a roll-out and reports the counts. */
 import type {RolloutReport, UpstreamTally} from '@parsleyarch/peer/messages';
+import {nextBaselineMs} from '@parsleyarch/policy/latency-baseline';
 import {
   findRegression,
   type Tally,
@@ -11,7 +12,7 @@
   Pace,
   type StreamGaps,
 } from '@parsleyarch/policy/stream-pace';
-import type {Outcome, Send} from './attempt.js';
+import type {AnswerBody, Outcome, Send} from './attempt.js';
 import {isStream, type Exchange} from './exchange.js';
 import {keptSessionsOf} from './kept-sessions.js';
 import type {EntryNode, KnownOrder, UpstreamState} from './node.js';
@@ -21,8 +22,6 @@
 const SLOW_LATENCY_RATIO = 3;
 /** Latencies up to this one never count as slow. */
 const MIN_SLOW_LATENCY_MS = 150;
-/** Weight of the newest value in a moving average. */
-const BASELINE_SMOOTHING_RATIO = 0.05;
 
 /** Outcome of a send, for the comparison of versions. */
 export interface VersionOutcome {
@@ -32,16 +31,6 @@
   readonly model: string;
 }
 
-function updateBaseline(
-  baselines: Map<string, number>,
-  key: string,
-  value: number,
-): void {
-  const baseline = baselines.get(key) ?? value;
-  const change = (value - baseline) * BASELINE_SMOOTHING_RATIO;
-  baselines.set(key, baseline + change);
-}
-
 /**
  * Updates the baseline with latencies of the old version, and without an order
  * with those of any version; returns whether this one is slow.
@@ -54,7 +43,7 @@
 ): boolean {
   const {latencyBaselines} = node.versions;
   const baselineMs = latencyBaselines.get(key) ?? tookMs;
-  if (!fresh) updateBaseline(latencyBaselines, key, tookMs);
+  if (!fresh) latencyBaselines.set(key, nextBaselineMs(baselineMs, tookMs));
   return (
     tookMs > Math.max(MIN_SLOW_LATENCY_MS, baselineMs * SLOW_LATENCY_RATIO)
   );
@@ -117,14 +106,40 @@
     tally.failed += 1;
     if (fresh) exchange.freshFailed = true;
   }
-  if (slow || timedOut) tally.slow += 1;
-  else if (isEventStream(exchange, outcome)) {
+  if (isEventStream(exchange, outcome)) {
     tally.untimed += 1;
-    node.versions.untimedSends.set(outcome.body.send, tally);
-  }
+    const stream = {tally, isHeadSlow: slow};
+    node.versions.untimedStreams.set(outcome.body.send, stream);
+  } else if (slow || timedOut) tally.slow += 1;
   if (fresh) revertLocally(node, order);
 }
 
+/** Counts the latency of a stream, of whose events no more will be known. */
+function settleStream(
+  node: EntryNode,
+  exchange: Exchange,
+  send: Send,
+  isPaceSlow: boolean,
+): void {
+  const {untimedStreams} = node.versions;
+  const stream = untimedStreams.get(send);
+  if (!stream) return;
+  untimedStreams.delete(send);
+  stream.tally.untimed -= 1;
+  if (stream.isHeadSlow || isPaceSlow) stream.tally.slow += 1;
+  const order = node.orders.get(exchange.service);
+  if (order && stream.tally.fresh) revertLocally(node, order);
+}
+
+/** Counts a stream that this node drops in favour of another answer. */
+export function recordDroppedStream(
+  node: EntryNode,
+  exchange: Exchange,
+  {send}: AnswerBody,
+): void {
+  settleStream(node, exchange, send, false);
+}
+
 /** What is known of the gaps between the events of a stream. */
 export interface StreamProgress {
   readonly gaps: StreamGaps;
@@ -136,25 +151,23 @@
 export function recordStreamGaps(
   node: EntryNode,
   exchange: Exchange,
-  send: Send,
+  {send}: AnswerBody,
   model: string | undefined,
   {gaps, isOver}: StreamProgress,
 ): boolean {
-  const {gapBaselines, untimedSends} = node.versions;
-  const order = node.orders.get(exchange.service);
-  const fresh = send.registered.version === order?.target;
+  const {gapBaselines} = node.versions;
+  const target = node.orders.get(exchange.service)?.target;
   const key = baselineKey(exchange, model);
   const baselineMs = gapBaselines.get(key);
   const pace = judgePace(gaps, baselineMs ?? Infinity, isOver);
   if (pace === Pace.unknown) return false;
-  if (!fresh && gaps.count > 0)
-    updateBaseline(gapBaselines, key, gaps.totalMs / gaps.count);
-  const tally = untimedSends.get(send);
-  if (!tally || baselineMs === undefined) return true;
-  untimedSends.delete(send);
-  tally.untimed -= 1;
-  if (pace === Pace.slow) tally.slow += 1;
-  if (order && fresh) revertLocally(node, order);
+  if (send.registered.version !== target && gaps.count > 0)
+    gapBaselines.set(
+      key,
+      nextBaselineMs(baselineMs, gaps.totalMs / gaps.count),
+    );
+  if (baselineMs !== undefined)
+    settleStream(node, exchange, send, pace === Pace.slow);
   return true;
 }
 
@@ -197,6 +210,7 @@
   const signal = findRegression(
     sumTallies(tallies, true),
     sumTallies(tallies, false),
+    Math.max(1, node.members.size),
   );
   if (!signal) return;
   node.versions.locallyReverted.add(order.revision);
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -33,10 +33,17 @@
   seen: number;
   failed: number;
   slow: number;
-  /** Streams that were neither slow to begin nor have made enough events. */
+  /** Streams whose pace is not known yet. */
   untimed: number;
 }
 
+/** A stream whose pace is not known yet. */
+interface UntimedStream {
+  readonly tally: LocalTally;
+  /** Whether its head came late. */
+  readonly isHeadSlow: boolean;
+}
+
 /** A plan, and when this node received it. */
 export interface KnownPlan {
   readonly plan: RolloutPlan;
@@ -62,14 +69,13 @@
   /** Revisions of orders that this node stopped following by its own counts. */
   readonly locallyReverted: Set<number>;
   /**
-   * Moving average of the time to the answer header, by route and model,
+   * Moving geometric mean of the time to the answer header, by route and model,
    * milliseconds. Excludes a version that is being rolled out.
    */
   readonly latencyBaselines: Map<string, number>;
   /** The same of the mean gap between the events of a stream. */
   readonly gapBaselines: Map<string, number>;
-  /** Counts to which streams belong whose pace is not known yet. */
-  readonly untimedSends: WeakMap<Send, LocalTally>;
+  readonly untimedStreams: WeakMap<Send, UntimedStream>;
 }
 
 export function createVersions(): Versions {
@@ -81,7 +87,7 @@
     locallyReverted: new Set(),
     latencyBaselines: new Map(),
     gapBaselines: new Map(),
-    untimedSends: new WeakMap(),
+    untimedStreams: new WeakMap(),
   };
 }
 
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -302,3 +302,44 @@
   }
   t.is(readStatus(site)?.state, 'reverted');
 });
+
+test('a stream that is dropped for a larger model counts by the time to its head', async t => {
+  const site = await startRollout(t);
+  for (const runner of site.runners)
+    runner.script = (request, response) => {
+      const isSmall = request.headers['x-parsleyarch-model'] === 'small';
+      response.writeHead(200, {
+        ...createSeal(request),
+        'content-type': 'text/event-stream',
+        'x-parsleyarch-confidence': isSmall ? '10' : '90',
+      });
+      response.end('id: 1\ndata: e\n\nid: 2\ndata: e\n\n');
+    };
+  const [{node}] = site.entries;
+  await until(() => node.orders.has('api'));
+  const models = [
+    {name: 'small', cost: 0.1},
+    {name: 'large', cost: 1},
+  ];
+  configure(
+    site,
+    [route({kind: 'stream', resumable: true, sizes: ['small', 'large']})],
+    {
+      services: [{name: 'api', health_path: '/healthz', engine: {models}}],
+    },
+  );
+  const send = () =>
+    call(site.entries[0], {headers: {'x-parsleyarch-model': '*'}});
+  const countRuns = () => site.runners.flatMap(({requests}) => requests).length;
+  await until(() => node.routes?.table.routes[0]?.models.length === 2);
+  for (let sent = 0; sent < 20; sent += 1) await send();
+  t.is(countRuns(), 40);
+  const tallies = [...node.versions.tallies.values()].flatMap(counts => [
+    ...counts.values(),
+  ]);
+  const sum = (field: 'seen' | 'untimed') =>
+    tallies.reduce((total, tally) => total + tally[field], 0);
+  t.is(sum('seen'), 40);
+  // The first stream of the larger model has no baseline.
+  t.is(sum('untimed'), 1);
+});
