Complete a version only on evidence that it is as good as the old one

Promotion asked only that harm was not proven, at 500 to 1 against a conservative bound of the old rate, and looked at the last 4 s alone; completion looked at nothing.

The evidence is now a Bayes factor of 'worse by 5 to 70 points' against 'equal', so it has two sides. A step is held while all requests or the last ones speak against the version; completion, which cannot be undone, needs 10 to 1 for equality; 100 to 1 for harm reverts at once; at 95% of the duration the roll-out goes the way that the evidence favours. A node that compares its own counts asks for as many times the evidence as there are nodes.

--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -10,6 +10,7 @@
 import {
   findRegression,
   hasAdverseEvidence,
+  isProvenEqual,
   type VersionTally,
 } from './rollout.js';
 
@@ -109,10 +110,13 @@
 const SPARSE_RAMP_START_RATIO = 0.6;
 /**
  * Fraction of the duration after which completion no longer waits for requests
- * on the old version.
+ * on the old version, nor for a proof that the new one is equal.
  */
 const DRAIN_WAIT_END_RATIO = 0.95;
 
+/** Fraction of the duration after which weak evidence holds nothing back. */
+const LATE_RATIO = 0.78;
+
 /** Creates the first plan of an order. */
 export function createRolloutPlan(
   order: number,
@@ -143,6 +147,15 @@
   );
 }
 
+/** Whether the new version seems worse, over all its requests or the last ones. */
+function looksWorse(view: RolloutView): boolean {
+  const {fresh, freshRecent, old, elapsedMs, durationMs} = view;
+  const isLate = elapsedMs >= durationMs * LATE_RATIO;
+  return [fresh, freshRecent].some(tally =>
+    hasAdverseEvidence(tally, old, isLate),
+  );
+}
+
 function nextShare(share: number): number | undefined {
   for (const step of RAMP_RATIOS) {
     if (step > share) return step;
@@ -175,12 +188,11 @@
 }
 
 function widenCanary(view: RolloutView): PlanChange | undefined {
-  const {plan, fresh, old, freshRecent} = view;
+  const {plan, fresh} = view;
   const first = view.exposeShare * CANARY_EXPOSURE_RATIO;
   if (plan.share > first || view.planAgeMs < MIN_CANARY_MS) return undefined;
   if (fresh.error.seen < MIN_WIDEN_REQUEST_COUNT) return undefined;
-  if (hasAdverseEvidence(fresh, old) || hasAdverseEvidence(freshRecent, old))
-    return undefined;
+  if (looksWorse(view)) return undefined;
   const share = maxCanaryShare(view);
   if (share <= first) return undefined;
   const reason = `${fresh.error.seen} requests without a regression`;
@@ -192,7 +204,7 @@
   if (!isMinStepElapsed(view)) return undefined;
   // A node that has failed must not block the roll-out of a good version.
   if (!view.followed && view.planAgeMs < MAX_FOLLOW_WAIT_MS) return undefined;
-  if (hasAdverseEvidence(view.freshRecent, view.old)) return undefined;
+  if (looksWorse(view)) return undefined;
   const share = nextShare(plan.share);
   if (share === undefined) return undefined;
   const holdUntil = Math.min(
@@ -204,10 +216,17 @@
   return {phase: Phase.ramp, share, reason};
 }
 
+/** Whether the time limit of the order is so near that a decision is due. */
+function isEnding({elapsedMs, durationMs}: RolloutView): boolean {
+  return elapsedMs >= durationMs * DRAIN_WAIT_END_RATIO;
+}
+
+/** Completion stops the old version for good, so it needs the strongest evidence. */
 function completeRollout(view: RolloutView): PlanChange | undefined {
-  const late = view.elapsedMs >= view.durationMs * DRAIN_WAIT_END_RATIO;
   const drained = view.followed && view.oldInFlight === 0;
-  if (!isMinStepElapsed(view) || !(drained || late)) return undefined;
+  const isProven = isProvenEqual(view.fresh, view.old) && !looksWorse(view);
+  const isReady = (drained && isProven) || isEnding(view);
+  if (!isMinStepElapsed(view) || !isReady) return undefined;
   const reason = drained
     ? 'old version drained'
     : 'roll-out duration is ending';
@@ -247,6 +266,10 @@
   if (isRolloutOver(view.plan)) return undefined;
   const signal = findRegressedSignal(view);
   if (signal) return {phase: Phase.reverted, share: 0, reason: signal};
+  if (isEnding(view) && looksWorse(view)) {
+    const reason = 'evidence favours the old version at the end';
+    return {phase: Phase.reverted, share: 0, reason};
+  }
   return CHANGE_BY_PHASE[view.plan.phase](view);
 }
 
--- a/packages/policy/src/rollout.ts
+++ b/packages/policy/src/rollout.ts
@@ -1,8 +1,8 @@
 /**
- * Sequential test of a new version against the old one. For each signal, a
- * betting martingale over the counts measures the evidence that the new version
- * is worse. It can be evaluated after every request without raising the
- * probability of a false stop. Pure functions only.
+ * Sequential test of a new version against the old one. For each signal, a Bayes
+ * factor over the counts weighs the evidence that the new version is worse against
+ * the evidence that it is equal. It can be evaluated after every request without
+ * raising the probability of a false stop. Pure functions only.
  */
 import type {RolloutSpec} from '@parsleyarch/resource/schema';
 
@@ -29,53 +29,99 @@
  * Bound on the probability of stopping the roll-out of an equal version, over all
  * signals.
  */
-const FALSE_STOP_PROBABILITY = 0.006;
+const FALSE_STOP_PROBABILITY = 0.03;
 
-/** Largest increase in the rate of bad outcomes that is accepted. */
+/** Increase in the rate of bad outcomes up to which versions count as equal. */
 const MAX_BAD_RATE_INCREASE = 0.01;
 
-/**
- * Stakes of the mixture: small ones detect small differences, large ones detect
- * large differences early.
- */
-const STAKES = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 4, 12] as const;
+/** Increases of the alternative, that the new version is worse. */
+const WORSE_BAD_RATE_INCREASES = [0.05, 0.1, 0.2, 0.35, 0.5, 0.7] as const;
 
 /**
- * Upper bound of the old version's bad rate: two standard errors above it. One
- * bad outcome in four requests is added, so that few requests give no bound near
- * zero.
+ * Requests up to which counts of the old version are trusted in full: bad outcomes
+ * come in bursts, so that more requests say less than their number.
  */
-function upperRate({seen, bad}: Tally): number {
-  const trials = seen + 4;
-  const rate = (bad + 1) / trials;
-  return Math.min(0.95, rate + 2 * Math.sqrt((rate * (1 - rate)) / trials));
+const MAX_OLD_REQUEST_COUNT = 400;
+
+/** Rates of the old version that are considered, in standard errors. */
+const RATE_OFFSETS = Array.from({length: 11}, (_, i) => -2.4 + i * 0.6);
+
+interface WeightedRate {
+  readonly rate: number;
+  /** Log of the weight, up to a constant. */
+  readonly logWeight: number;
 }
 
-/**
- * Log of the wealth after betting that the bad rate exceeds `base`. The stake is
- * limited so that a good outcome loses 95% of the wealth at most.
- */
-function logWealth(stake: number, {seen, bad}: Tally, base: number): number {
-  const lost = Math.log1p(-Math.min(stake, 0.95 / base) * base);
-  const won = Math.log1p(Math.min(stake, 0.95 / base) * (1 - base));
-  return bad * won + (seen - bad) * lost;
+function logLikelihood({seen, bad}: Tally, rate: number): number {
+  return bad * Math.log(rate) + (seen - bad) * Math.log1p(-rate);
 }
 
-/** Log of the evidence that the new version's bad rate exceeds the old one's. */
-export function logEvidenceAgainst(fresh: Tally, old: Tally): number {
-  const base = upperRate(old) + MAX_BAD_RATE_INCREASE;
-  const logs = STAKES.map(stake => logWealth(stake, fresh, base));
+/** Rates that the old version may have, by its counts. */
+function listOldRates({seen, bad}: Tally): WeightedRate[] {
+  const ratio = Math.min(1, MAX_OLD_REQUEST_COUNT / Math.max(1, seen));
+  // One bad outcome in four requests is added, so that few requests do not
+  // suggest a rate near zero.
+  const known = {seen: seen * ratio + 4, bad: bad * ratio + 1};
+  const mean = known.bad / known.seen;
+  const error = Math.sqrt((mean * (1 - mean)) / known.seen);
+  const rates: WeightedRate[] = [];
+  for (const offset of RATE_OFFSETS) {
+    const rate = mean + offset * error;
+    if (rate <= 0 || rate >= 1) continue;
+    rates.push({rate, logWeight: logLikelihood(known, rate)});
+  }
+  return rates;
+}
+
+function logSum(logs: readonly number[]): number {
   const top = Math.max(...logs);
-  const sum = logs.reduce((total, log) => total + Math.exp(log - top), 0);
-  return top + Math.log(sum / STAKES.length);
+  return (
+    top + Math.log(logs.reduce((sum, log) => sum + Math.exp(log - top), 0))
+  );
 }
 
-/** The first signal on which the new version is proven worse, if any. */
+const MAX_RATE = 0.98;
+
+/** Log likelihood of the new version's counts if it is worse by an increase. */
+function logMarginal(
+  fresh: Tally,
+  oldRates: readonly WeightedRate[],
+  increase: number,
+): number {
+  return logSum(
+    oldRates.map(({rate, logWeight}) => {
+      const freshRate = Math.min(MAX_RATE, rate + increase);
+      return logWeight + logLikelihood(fresh, freshRate);
+    }),
+  );
+}
+
+/**
+ * Log of the Bayes factor of the new version being worse against it being equal.
+ * Negative values are evidence that it is equal.
+ */
+export function logEvidenceAgainst(fresh: Tally, old: Tally): number {
+  if (fresh.seen === 0) return 0;
+  const oldRates = listOldRates(old);
+  const worse = WORSE_BAD_RATE_INCREASES.map(increase =>
+    logMarginal(fresh, oldRates, increase),
+  );
+  const equal = logMarginal(fresh, oldRates, MAX_BAD_RATE_INCREASE);
+  return logSum(worse) - Math.log(worse.length) - equal;
+}
+
+/**
+ * The first signal on which the new version is proven worse, if any. Where each of
+ * several observers compares its own counts, `observerCount` keeps the probability
+ * that any of them stops an equal version below the bound.
+ */
 export function findRegression(
   fresh: VersionTally,
   old: VersionTally,
+  observerCount = 1,
 ): Signal | undefined {
-  const bound = Math.log(SIGNALS.length / FALSE_STOP_PROBABILITY);
+  const testCount = SIGNALS.length * observerCount;
+  const bound = Math.log(testCount / FALSE_STOP_PROBABILITY);
   for (const signal of SIGNALS) {
     if (logEvidenceAgainst(fresh[signal], old[signal]) >= bound) return signal;
   }
@@ -85,14 +131,34 @@
 /** Log evidence above which a roll-out stays at its step for now. */
 const HOLD_LOG_EVIDENCE = 0;
 
+/**
+ * Log evidence above which a roll-out stays although its time is running out. A
+ * good version that is rolled back costs one more roll-out, a bad one that is
+ * kept harms every caller.
+ */
+const LATE_HOLD_LOG_EVIDENCE = Math.log(5);
+
 /** Whether some signal suggests, even without proof, that the version is worse. */
 export function hasAdverseEvidence(
   fresh: VersionTally,
   old: VersionTally,
+  isLate = false,
 ): boolean {
+  const bound = isLate ? LATE_HOLD_LOG_EVIDENCE : HOLD_LOG_EVIDENCE;
   return SIGNALS.some(
+    signal => logEvidenceAgainst(fresh[signal], old[signal]) > bound,
+  );
+}
+
+/** Log evidence that a version is equal from which it may replace the old one. */
+const PROMOTION_LOG_EVIDENCE = Math.log(10);
+
+/** Whether all signals with requests prove that the version is not worse. */
+export function isProvenEqual(fresh: VersionTally, old: VersionTally): boolean {
+  return SIGNALS.every(
     signal =>
-      logEvidenceAgainst(fresh[signal], old[signal]) > HOLD_LOG_EVIDENCE,
+      fresh[signal].seen === 0 ||
+      logEvidenceAgainst(fresh[signal], old[signal]) <= -PROMOTION_LOG_EVIDENCE,
   );
 }
 
--- a/packages/policy/test/rollout-plan.test.ts
+++ b/packages/policy/test/rollout-plan.test.ts
@@ -84,6 +84,55 @@
   });
 });
 
+for (const [label, fresh, old] of [
+  [
+    '20 of 39 slow answers beside 60 of 283',
+    tally(39, 0, 20),
+    tally(283, 0, 60),
+  ],
+  ['20 of 65 bad answers beside 23 of 242', tally(65, 20), tally(242, 23)],
+  ['25 of 78 bad answers beside 23 of 245', tally(78, 25), tally(245, 23)],
+] as const)
+  test(`a version with ${label} is not completed`, t => {
+    const all = plan({phase: Phase.ramp, share: 1});
+    for (const elapsedMs of [12_000, 19_500]) {
+      const change = nextPlanChange(
+        view({plan: all, fresh, old, freshRecent: fresh, elapsedMs}),
+      );
+      t.not(change?.phase, Phase.complete);
+    }
+  });
+
+test('the ramp waits while all requests speak against a version, though the last ones do not', t => {
+  const ramp = plan({phase: Phase.ramp, share: 0.5});
+  const known = {plan: ramp, fresh: tally(30, 6), old: tally(300, 15)};
+  t.is(nextPlanChange(view({...known, elapsedMs: 15_100})), undefined);
+  t.true(nextPlanChange(view({plan: ramp, elapsedMs: 15_100}))!.share === 1);
+});
+
+test('a version with too few requests for a proof is completed only at the end', t => {
+  const all = plan({phase: Phase.ramp, share: 1});
+  const known = {plan: all, fresh: tally(12), freshRecent: tally(6)};
+  t.is(nextPlanChange(view({...known, elapsedMs: 16_000})), undefined);
+  t.like(nextPlanChange(view({...known, elapsedMs: 19_500})), {
+    phase: Phase.complete,
+  });
+});
+
+for (const [phase, share] of [
+  [Phase.canary, 0.18],
+  [Phase.ramp, 0.5],
+  [Phase.ramp, 1],
+] as const)
+  test(`at the end, evidence for the old version reverts a ${phase} at ${share}`, t => {
+    const known = {fresh: tally(30, 7), old: tally(300, 15)};
+    const current = view({plan: plan({phase, share}), ...known});
+    t.is(nextPlanChange({...current, elapsedMs: 16_000}), undefined);
+    t.like(nextPlanChange({...current, elapsedMs: 19_500}), {
+      phase: Phase.reverted,
+    });
+  });
+
 test('an equal version always completes in time, whatever the counts', t => {
   fc.assert(
     fc.property(
--- a/packages/policy/test/rollout.test.ts
+++ b/packages/policy/test/rollout.test.ts
@@ -2,6 +2,7 @@
 import {
   EMPTY_TALLY,
   findRegression,
+  logEvidenceAgainst,
   nextRolloutAction,
   type VersionTally,
 } from '../src/rollout.js';
@@ -41,6 +42,25 @@
     t.true(requestsUntilStop(seed, OLD_RATE + 0.5, 200) <= 60);
 });
 
+test('an observer among many needs more evidence to stop a version', t => {
+  const old = tally(8, 0);
+  const fresh = tally(8, 8);
+  t.is(findRegression(fresh, old, 1), 'error');
+  t.is(findRegression(fresh, old, 195), undefined);
+});
+
+test('requests that all succeed are evidence for a version', t => {
+  const old = tally(300, 15);
+  const logs = [5, 20, 60, 200].map(seen =>
+    logEvidenceAgainst({seen, bad: 0}, old.error),
+  );
+  t.deepEqual(
+    logs,
+    [...logs].sort((a, b) => b - a),
+  );
+  t.true(logs[0] < 0);
+});
+
 const ROLLOUT = {
   model: 'hymn',
   from: 'hymn-1',
