Compare no latency with a baseline that the new version made itself

A node that meets the new version before the old one, after a restart or in a large deployment, took its first latency as the usual time: an answer after 2 s counted as timely, and so did all that followed at that pace. Without a baseline, the latency of a send on the new version now stays unknown.

Measured: 'a version that a node meets before the old one is not its own baseline' fails without the change and passes with it.

--- a/apps/router/src/entry/version-tallies.ts
+++ b/apps/router/src/entry/version-tallies.ts
@@ -33,16 +33,19 @@
 
 /**
  * Updates the baseline with latencies of the old version, and without an order
- * with those of any version; returns whether this one is slow.
+ * with those of any version; returns whether this one is slow, or `undefined` for
+ * a new version that this node cannot compare yet.
  */
 function recordLatency(
   node: EntryNode,
   key: string,
   tookMs: number,
   fresh: boolean,
-): boolean {
+): boolean | undefined {
   const {latencyBaselines} = node.versions;
-  const baselineMs = latencyBaselines.get(key) ?? tookMs;
+  const knownMs = latencyBaselines.get(key);
+  if (fresh && knownMs === undefined) return undefined;
+  const baselineMs = knownMs ?? tookMs;
   if (!fresh) latencyBaselines.set(key, nextBaselineMs(baselineMs, tookMs));
   return (
     tookMs > Math.max(MIN_SLOW_LATENCY_MS, baselineMs * SLOW_LATENCY_RATIO)
@@ -106,11 +109,13 @@
     tally.failed += 1;
     if (fresh) exchange.freshFailed = true;
   }
-  if (isEventStream(exchange, outcome)) {
+  if (timedOut) tally.slow += 1;
+  else if (slow === undefined) tally.untimed += 1;
+  else if (isEventStream(exchange, outcome)) {
     tally.untimed += 1;
     const stream = {tally, isHeadSlow: slow};
     node.versions.untimedStreams.set(outcome.body.send, stream);
-  } else if (slow || timedOut) tally.slow += 1;
+  } else if (slow) tally.slow += 1;
   if (fresh) revertLocally(node, order);
 }
 
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -33,7 +33,7 @@
   seen: number;
   failed: number;
   slow: number;
-  /** Streams whose pace is not known yet. */
+  /** Sends whose latency is not known: streams at first, and sends without a baseline. */
   untimed: number;
 }
 
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -5,7 +5,13 @@
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import {isShareReady} from '@parsleyarch/router/entry/kept-sessions';
 import {elapsedSinceOrder} from '@parsleyarch/router/entry/rollout-view';
-import {collectRolloutReports} from '@parsleyarch/router/entry/version-tallies';
+import type {Outcome} from '@parsleyarch/router/entry/attempt';
+import type {Exchange} from '@parsleyarch/router/entry/exchange';
+import {
+  collectRolloutReports,
+  recordVersionOutcome,
+  sumTallies,
+} from '@parsleyarch/router/entry/version-tallies';
 import {localElapsedSinceOrder} from '@parsleyarch/router/entry/versions';
 import '../exit.js';
 import {
@@ -343,3 +349,30 @@
   // The first stream of the larger model has no baseline.
   t.is(sum('untimed'), 1);
 });
+
+test('a version that a node meets before the old one is not its own baseline', async t => {
+  const site = await startRollout(t);
+  const [{node}] = site.entries;
+  await until(() => node.orders.has('api') && node.upstreams.has('n-0'));
+  const exchange = {
+    service: 'api',
+    route: node.routes!.table.routes[0],
+  } as Exchange;
+  const outcome = {kind: 'answer', answer: {status: 200}} as Outcome;
+  const record = (id: string, tookMs: number) =>
+    recordVersionOutcome(node, exchange, node.upstreams.get(id)!, {
+      outcome,
+      tookMs,
+      model: '',
+    });
+  const sumFresh = () => {
+    const [{tallies}] = collectRolloutReports(node);
+    return sumTallies(tallies, true).latency;
+  };
+  record('n-0', 2_000);
+  t.deepEqual(sumFresh(), {seen: 0, bad: 0});
+  const [old] = site.runners;
+  record(old.id, 100);
+  record('n-0', 2_000);
+  t.deepEqual(sumFresh(), {seen: 1, bad: 1});
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -100,7 +100,7 @@
   readonly seen: number;
   readonly failed: number;
   readonly slow: number;
-  /** Streams whose pace is not known yet. */
+  /** Sends whose latency is not known. */
   readonly untimed: number;
 }
 /** One node's observations of one roll-out. */
