Give a version all sessions only on evidence for it

At the full share, the version took over 50 requests/s for the 2 s until it was reverted.

That step now needs 10 to 1 for equality; late, when time runs out, it is refused from 2 to 1 for worse on. A version that has not got all sessions by the end cannot be completed, so 2 to 1 reverts it there.

--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -10,7 +10,7 @@
 import {
   findRegression,
   hasAdverseEvidence,
-  isProvenEqual,
+  hasEqualityOdds,
   type VersionTally,
 } from './rollout.js';
 
@@ -114,6 +114,11 @@
  */
 const DRAIN_WAIT_END_RATIO = 0.95;
 
+/** Odds of being equal from which a version replaces the old one. */
+const PROMOTION_ODDS = 10;
+/** The same for all sessions, once time is running out. */
+const LATE_PROMOTION_ODDS = 0.5;
+
 /** Fraction of the duration after which weak evidence holds nothing back. */
 const LATE_RATIO = 0.78;
 
@@ -147,12 +152,15 @@
   );
 }
 
+function isLate({elapsedMs, durationMs}: RolloutView): boolean {
+  return elapsedMs >= durationMs * LATE_RATIO;
+}
+
 /** Whether the new version seems worse, over all its requests or the last ones. */
 function looksWorse(view: RolloutView): boolean {
-  const {fresh, freshRecent, old, elapsedMs, durationMs} = view;
-  const isLate = elapsedMs >= durationMs * LATE_RATIO;
+  const {fresh, freshRecent, old} = view;
   return [fresh, freshRecent].some(tally =>
-    hasAdverseEvidence(tally, old, isLate),
+    hasAdverseEvidence(tally, old, isLate(view)),
   );
 }
 
@@ -212,6 +220,9 @@
     view.durationMs - RESERVED_DRAIN_MS,
   );
   if (share === 1 && view.elapsedMs < holdUntil) return undefined;
+  const odds = isLate(view) ? LATE_PROMOTION_ODDS : PROMOTION_ODDS;
+  if (share === 1 && !hasEqualityOdds(view.fresh, view.old, odds))
+    return undefined;
   const reason = `${view.fresh.error.seen} requests without a regression`;
   return {phase: Phase.ramp, share, reason};
 }
@@ -221,10 +232,22 @@
   return elapsedMs >= durationMs * DRAIN_WAIT_END_RATIO;
 }
 
+/**
+ * Whether the evidence speaks against a version at the end of the duration. Less is
+ * enough for one that has not got all sessions, as it cannot be completed.
+ */
+function isRejected(view: RolloutView): boolean {
+  const {plan, fresh, old} = view;
+  if (plan.share < 1 && !hasEqualityOdds(fresh, old, LATE_PROMOTION_ODDS))
+    return true;
+  return looksWorse(view);
+}
+
 /** Completion stops the old version for good, so it needs the strongest evidence. */
 function completeRollout(view: RolloutView): PlanChange | undefined {
   const drained = view.followed && view.oldInFlight === 0;
-  const isProven = isProvenEqual(view.fresh, view.old) && !looksWorse(view);
+  const isProven =
+    hasEqualityOdds(view.fresh, view.old, PROMOTION_ODDS) && !looksWorse(view);
   const isReady = (drained && isProven) || isEnding(view);
   if (!isMinStepElapsed(view) || !isReady) return undefined;
   const reason = drained
@@ -266,7 +289,7 @@
   if (isRolloutOver(view.plan)) return undefined;
   const signal = findRegressedSignal(view);
   if (signal) return {phase: Phase.reverted, share: 0, reason: signal};
-  if (isEnding(view) && looksWorse(view)) {
+  if (isEnding(view) && isRejected(view)) {
     const reason = 'evidence favours the old version at the end';
     return {phase: Phase.reverted, share: 0, reason};
   }
--- a/packages/policy/src/rollout.ts
+++ b/packages/policy/src/rollout.ts
@@ -150,15 +150,16 @@
   );
 }
 
-/** Log evidence that a version is equal from which it may replace the old one. */
-const PROMOTION_LOG_EVIDENCE = Math.log(10);
-
-/** Whether all signals with requests prove that the version is not worse. */
-export function isProvenEqual(fresh: VersionTally, old: VersionTally): boolean {
+/** Whether, on all signals with requests, the odds of being equal are high enough. */
+export function hasEqualityOdds(
+  fresh: VersionTally,
+  old: VersionTally,
+  odds: number,
+): boolean {
   return SIGNALS.every(
     signal =>
       fresh[signal].seen === 0 ||
-      logEvidenceAgainst(fresh[signal], old[signal]) <= -PROMOTION_LOG_EVIDENCE,
+      logEvidenceAgainst(fresh[signal], old[signal]) <= -Math.log(odds),
   );
 }
 
--- a/packages/policy/test/rollout-plan.test.ts
+++ b/packages/policy/test/rollout-plan.test.ts
@@ -110,6 +110,24 @@
   t.true(nextPlanChange(view({plan: ramp, elapsedMs: 15_100}))!.share === 1);
 });
 
+test('a version without enough evidence for it gets all sessions only late', t => {
+  const ramp = plan({phase: Phase.ramp, share: 0.5});
+  const known = {plan: ramp, fresh: tally(40, 0, 7), old: tally(468, 0, 107)};
+  t.is(nextPlanChange(view({...known, elapsedMs: 15_100})), undefined);
+  t.true(nextPlanChange(view({...known, elapsedMs: 16_000}))!.share === 1);
+});
+
+test('a version that is rather worse never gets all sessions, and is reverted at the end', t => {
+  const ramp = plan({phase: Phase.ramp, share: 0.5});
+  const fresh = tally(68, 0, 17);
+  const known = {plan: ramp, fresh, freshRecent: fresh, old: tally(422, 0, 58)};
+  t.is(nextPlanChange(view({...known, elapsedMs: 15_100})), undefined);
+  t.is(nextPlanChange(view({...known, elapsedMs: 16_000})), undefined);
+  t.like(nextPlanChange(view({...known, elapsedMs: 19_500})), {
+    phase: Phase.reverted,
+  });
+});
+
 test('a version with too few requests for a proof is completed only at the end', t => {
   const all = plan({phase: Phase.ramp, share: 1});
   const known = {plan: all, fresh: tally(12), freshRecent: tally(6)};
