Wait in a test until no own call to the store can be a follower's confirmation

Suspected: the follower called the store itself before it followed, a few milliseconds after the watchers' last call, so that its confirmation is its own and not a relayed one. Reading the code rules out a lagging clock, which can only make the reported age larger.

The test now waits until each watcher has completed a call that it sent after the follower's last one; the bound of 5 ms and the time are the same, and a failure tells the ages of all nodes.

--- a/apps/router/test/entry/following.test.ts
+++ b/apps/router/test/entry/following.test.ts
@@ -157,13 +157,26 @@
 test('the age of a confirmation does not decrease when it is relayed', async t =>
   withFollowers(t, async (site, [follower]) => {
     const watchers = site.entries.slice(0, 2);
+    // Before it followed, the follower called the store itself; each watcher
+    // completes a call that it sends after that.
+    const known = watchers.map(watchCallCount);
+    await until(() =>
+      watchers.every((entry, i) => watchCallCount(entry) >= known[i] + 2),
+    );
     site.store.behavior = StoreBehavior.unresponsive;
     const end = performance.now() + 2_000;
     while (performance.now() < end) {
       const youngest = Math.min(
         ...watchers.map(({node}) => confirmationAge(node)),
       );
-      t.true(confirmationAge(follower.node) >= youngest - 5);
+      const states = site.entries.map(entry => ({
+        age: confirmationAge(entry.node),
+        watchCalls: watchCallCount(entry),
+      }));
+      t.true(
+        confirmationAge(follower.node) >= youngest - 5,
+        JSON.stringify(states),
+      );
       await new Promise(resolve => setTimeout(resolve, 20));
     }
   }));
