--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -4,8 +4,10 @@
  * The canary starts with a small share of new sessions. Once the version has
  * served without a regression, the canary widens as far as the allowed exposure
  * permits. After half of the duration, existing sessions move too, and the share
- * grows while no evidence of a regression appears. This limits the exposure to
- * versions that fail at once, late, or only under load. Pure functions only.
+ * grows while no evidence of a regression appears. All sessions move, and the old
+ * version is replaced, only on evidence that the new one is as good. This limits the
+ * exposure to versions that fail at once, late, or only under load. Pure functions
+ * only.
  */
 import {
   findRegression,
