--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -57,7 +57,7 @@
     }),
     notices: new Counter({
       name: 'parsleyarch_entry_upstream_notices_total',
-      help: 'Answers in which upstreams say that they leave or want a pause',
+      help: 'Notices of upstreams that they leave, want a pause or change their limit',
       labelNames: ['kind'],
       registers,
     }),
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -40,6 +40,7 @@
 import type {UpstreamNotice} from './notices.js';
 import {createHolderState, type HolderState} from './holder.js';
 import type {EntrySettings} from './settings.js';
+import type {NamedLimit} from './upstream-limits.js';
 import {createVersions, type Versions} from './versions.js';
 
 /** The node's view of one upstream. */
@@ -113,6 +114,8 @@
   readonly upstreams: Map<string, UpstreamState>;
   /** What upstreams said of themselves, by upstream. */
   readonly notices: Map<string, UpstreamNotice>;
+  /** Limits that upstreams have named, by upstream. */
+  readonly limits: Map<string, NamedLimit>;
   /** Failure domains that operators have taken out of service. */
   readonly evacuated: Set<string>;
   readonly orders: Map<string, KnownOrder>;
@@ -188,6 +191,7 @@
     random: Math.random,
     upstreams: new Map(),
     notices: new Map(),
+    limits: new Map(),
     evacuated: new Set(),
     orders: new Map(),
     versions: createVersions(),
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -6,6 +6,7 @@
 import type {EntryNode} from './node.js';
 import {recordNotice} from './notices.js';
 import type {Selection} from './selection.js';
+import {recordLimit} from './upstream-limits.js';
 import {
   recordFailure,
   recordReachability,
@@ -111,6 +112,7 @@
   if (outcome.kind === 'answer' || outcome.kind === 'refused') {
     upstream.lastAnswerAt = node.clock();
     recordNotice(node, attempt.registered, outcome.answer);
+    recordLimit(node, attempt, outcome.answer);
     const {load} = outcome.answer;
     if (outcome.kind === 'answer' && model)
       recordModelTime(node, exchange, model, attempt.upstreamWork, tookMs);
