Share the limit that an upstream names among a few nodes

Cause: no code read the field; each node sent by load alone. The class of fault is a fact about an upstream that all nodes need and none has.

Holders by rendezvous hashing share the rate, one saved send each; the notice travels with the reports of load, the latest wins, and ends with an answer to a later send that does not carry it. An upstream whose share is used up is excluded for the moment, without a failure against it.

The decision keeps the bound over random numbers of nodes, limits, late members and late changes.

--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -252,9 +252,13 @@
     const refusalMs = findRefusalMs(node, exchange);
     if (refusalMs !== undefined)
       return failure('quarantined', reason, {retryAfterMs: refusalMs});
-    // Before the pause that upstreams asked for ends, a retry would be in vain.
+    // Before the pause that upstreams asked for ends, a retry would be in vain;
+    // other nodes may have a share of a limit where this one has none.
     const pauseMs = findRetryPauseMs(node, exchange) ?? 0;
-    const retryAfterMs = Math.max(RETRY_AFTER_MS, pauseMs);
+    const retryAfterMs = Math.max(
+      RETRY_AFTER_MS,
+      Number.isFinite(pauseMs) ? pauseMs : 0,
+    );
     return failure('no-upstream', reason, {retryAfterMs});
   }
   return failure('upstream-lost', reason);
--- a/apps/router/src/entry/exclusions.ts
+++ b/apps/router/src/entry/exclusions.ts
@@ -3,9 +3,12 @@
 import {workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {isLeaving, pausedUntil} from './notices.js';
+import {timeUntilShare} from './upstream-limits.js';
 import {allowsVersion} from './versions.js';
 
 const PAUSED = 'paused';
+/** This node may not send now under the limit that the upstream names. */
+const LIMITED = 'limited';
 
 /** Returns why a request cannot use an upstream, or `undefined` if it can. */
 export function findExclusion(
@@ -20,9 +23,19 @@
   if (node.evacuated.has(registered.failureDomain)) return 'domain out';
   if (exchange.triedUpstreams.has(registered.id)) return 'tried';
   if (!allowsVersion(node, exchange, registered.version)) return 'version';
+  if (timeUntilShare(node, state) > 0) return LIMITED;
   return undefined;
 }
 
+/** Time until an exclusion ends, for those that end after a known time. */
+const EXCLUSION_TIMES: Readonly<
+  Record<string, (node: EntryNode, state: UpstreamState) => number>
+> = {
+  [PAUSED]: (node, {registered}) =>
+    pausedUntil(node, registered) - node.clock(),
+  [LIMITED]: timeUntilShare,
+};
+
 /** Whether a usable upstream is left to which the request was not sent. */
 export function hasUntriedUpstream(
   node: EntryNode,
@@ -45,20 +58,29 @@
   return leastWork === Infinity ? 0 : leastWork;
 }
 
-/** Time until the first upstream that wants no requests now may be used again. */
-function findEarliestEnd(node: EntryNode, exchange: Exchange) {
-  let earliest = Infinity;
+/**
+ * Time until the first exclusion ends; infinite if only other nodes may use the
+ * upstreams, `undefined` if no exclusion ends by itself.
+ */
+function findEarliestEnd(
+  node: EntryNode,
+  exchange: Exchange,
+): number | undefined {
+  let earliestMs: number | undefined;
   for (const state of node.upstreams.values()) {
-    if (findExclusion(node, exchange, state) !== PAUSED) continue;
-    earliest = Math.min(earliest, pausedUntil(node, state.registered));
+    const exclusion = findExclusion(node, exchange, state);
+    if (!exclusion || !(exclusion in EXCLUSION_TIMES)) continue;
+    const timeMs = EXCLUSION_TIMES[exclusion](node, state);
+    earliestMs = Math.min(earliestMs ?? Infinity, timeMs);
   }
-  return earliest === Infinity ? undefined : earliest - node.clock();
+  return earliestMs;
 }
 
 /**
- * Time until an upstream may be used again that wants no requests now,
- * milliseconds; `undefined` if there is none, or if another upstream is left to
- * which the request was not sent.
+ * Time until an upstream may be used again that wants no requests now or has used
+ * up its limit, milliseconds; infinite if this node has no share of the limits,
+ * `undefined` if there is no such upstream, or if another one is left to which the
+ * request was not sent.
  */
 export function findPauseMs(
   node: EntryNode,
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -9,7 +9,6 @@
 import {repeat} from '@parsleyarch/lifecycle/process';
 import {callPeer} from '@parsleyarch/peer/client';
 import type {
-  CrashReport,
   LoadReport,
   LoadSummary,
   UpstreamLoad,
@@ -25,6 +24,7 @@
 import {applyConfirmation, leaveSource} from './follow.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {listLeaving, recordLeaving} from './notices.js';
+import {listLimits, recordRelayedLimits} from './upstream-limits.js';
 
 const SHARE_TIMEOUT_MS = 300;
 /** Age above which reported load is ignored, milliseconds. */
@@ -91,9 +91,10 @@
 /** Answers a report: keeps it, and returns the load that its sender lacks. */
 export function collectLoad(
   node: EntryNode,
-  {node: name, loads, isGroup, leaving, ...crashes}: LoadReport,
+  {node: name, loads, isGroup, leaving, limits, ...crashes}: LoadReport,
 ): LoadSummary {
   recordLeaving(node, leaving);
+  recordRelayedLimits(node, limits);
   mergeCrashes(node, crashes);
   const {reports, groups} = node.load;
   const report = {at: node.clock(), loads};
@@ -104,6 +105,7 @@
   return {
     loads: sums,
     leaving: listLeaving(node),
+    limits: listLimits(node),
     ...reportCrashes(node, crashes.crashDigest),
     ...reportConfirmation(node),
   };
@@ -162,7 +164,7 @@
 async function sendReport(
   node: EntryNode,
   collector: string,
-  load: Omit<LoadReport, keyof CrashReport | 'leaving'>,
+  load: Pick<LoadReport, 'node' | 'loads' | 'isGroup'>,
 ): Promise<LoadSummary | undefined> {
   const address = node.members.get(collector)?.address;
   const {client} = node.peers;
@@ -170,6 +172,7 @@
   const report = {
     ...load,
     leaving: listLeaving(node),
+    limits: listLimits(node),
     ...reportCrashes(node, node.crashes.digests.get(collector)),
   };
   const sentAt = node.continuousClock();
@@ -183,6 +186,7 @@
   if (summary.isOk()) {
     applyConfirmation(node, summary.value, sentAt);
     recordLeaving(node, summary.value.leaving);
+    recordRelayedLimits(node, summary.value.limits);
     mergeCrashes(node, summary.value);
     node.crashes.digests.set(collector, summary.value.crashDigest);
     return summary.value;
--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -9,6 +9,7 @@
 } from '@parsleyarch/policy/retry-window';
 import {findCrashDenial} from './crashes.js';
 import {isRepeatable, type Exchange} from './exchange.js';
+import {hasUntriedUpstream} from './exclusions.js';
 import type {EntryNode} from './node.js';
 
 /** Refused sends allowed beyond the attempts of the route. */
@@ -78,5 +79,10 @@
   exchange: Exchange,
 ): boolean {
   const window = getRetryWindow(node, exchange.service);
-  return hasAttemptLeft(exchange) && allowsLargerModel(window, node.clock());
+  const anyUpstream = {...exchange, triedUpstreams: new Set<string>()};
+  return (
+    hasAttemptLeft(exchange) &&
+    allowsLargerModel(window, node.clock()) &&
+    hasUntriedUpstream(node, anyUpstream)
+  );
 }
--- a/apps/router/src/entry/upstream-records.ts
+++ b/apps/router/src/entry/upstream-records.ts
@@ -5,6 +5,7 @@
 import type {Exchange} from './exchange.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {promptSegmentKeys} from './prompt-cache.js';
+import {consumeShare} from './upstream-limits.js';
 
 /** Bounds of the exponential backoff after failed connections. */
 const MIN_CONNECT_BACKOFF_MS = 500;
@@ -48,7 +49,7 @@
 const SEND_HISTORY_MS = 10_000;
 const MAX_CACHED_SEGMENT_COUNT = 2_000;
 
-/** Records a send for the cold limit, the load and the prompt cache. */
+/** Records a send for the limits, the load and the prompt cache. */
 export function recordSend(
   node: EntryNode,
   state: UpstreamState,
@@ -58,6 +59,7 @@
   const now = node.clock();
   dropExpired(state.sends, now - SEND_HISTORY_MS);
   state.sends.push(now);
+  consumeShare(node, state);
   state.sentSinceReport += 1;
   for (const key of promptSegmentKeys(model, exchange.caller.promptSegments)) {
     // Re-insertion keeps the map in order of use, so the oldest are evicted first.
--- a/apps/router/test/entry/upstream-limits.test.ts
+++ b/apps/router/test/entry/upstream-limits.test.ts
@@ -88,3 +88,116 @@
     t.true(most > 0);
   });
 }
+
+test('a node keeps to a limit that it knows from another node only', async t => {
+  const site = await start(t, {nodes: 2, upstreams: 2});
+  const [limited] = site.runners;
+  const [first, second] = site.entries;
+  limited.script = answerWithLimit(() => 0);
+  await until(() => {
+    void call(first);
+    return second.node.limits.has(limited.id);
+  });
+  await wait(200);
+  const before = limited.requests.length;
+  for (let sent = 0; sent < 30; sent += 1)
+    t.is((await call(second)).status, 200);
+  t.true(limited.requests.length - before <= 1);
+});
+
+test('a limit ends on all nodes once the upstream no longer names it', async t => {
+  const site = await start(t, {nodes: 3, upstreams: 2});
+  const [limited] = site.runners;
+  let limit: number | undefined = 4;
+  limited.script = answerWithLimit(() => limit);
+  const knowLimit = (perSecond?: number) => () => {
+    for (const entry of site.entries) void call(entry);
+    return site.entries.every(({node}) => {
+      const known = node.limits.get(limited.id);
+      return known !== undefined && known.perSecond === perSecond;
+    });
+  };
+  await until(knowLimit(4));
+  limit = 2;
+  await until(knowLimit(2));
+  limit = undefined;
+  await until(knowLimit(undefined));
+  await wait(1_000);
+  t.true(knowLimit(undefined)());
+});
+
+test('the limit of an earlier incarnation does not bind a later one', async t => {
+  const site = await start(t, {nodes: 1, upstreams: 1});
+  const [limited] = site.runners;
+  limited.script = answerWithLimit(() => 0.1);
+  const [entry] = site.entries;
+  t.is((await call(entry)).status, 200);
+  t.is((await call(entry)).status, 503);
+  limited.script = undefined;
+  limited.register({born: 2});
+  await until(
+    () => entry.node.upstreams.get('i-0')?.registered.incarnation === 2,
+  );
+  for (let sent = 0; sent < 5; sent += 1) t.is((await call(entry)).status, 200);
+});
+
+test('requests beyond the limits of all upstreams are refused at once', async t => {
+  const site = await start(t, {nodes: 1, upstreams: 2});
+  for (const upstream of site.runners)
+    upstream.script = answerWithLimit(() => 0.5);
+  const [entry] = site.entries;
+  for (let sent = 0; sent < 2; sent += 1) t.is((await call(entry)).status, 200);
+  const refused = await call(entry);
+  t.is(refused.status, 503);
+  t.true(refused.tookMs < 200);
+  const retryAfter = Number(refused.headers['retry-after']);
+  t.true(retryAfter > 0.5 && retryAfter <= 4);
+});
+
+test('a field that names no usable limit is ignored', async t => {
+  const site = await start(t, {nodes: 1, upstreams: 1});
+  const [upstream] = site.runners;
+  const [entry] = site.entries;
+  for (const value of ['', 'few', '-1', '1e999', 'NaN']) {
+    upstream.script = (request, response) =>
+      void response
+        .writeHead(200, {...createSeal(request), 'Server-Limit': value})
+        .end('answer');
+    t.is((await call(entry)).status, 200);
+    t.is((await call(entry)).status, 200);
+  }
+  t.is(entry.node.limits.size, 0);
+});
+
+test('an answer is not discarded for a larger model if no upstream may get another send', async t => {
+  const site = await startSite(1);
+  t.teardown(() => closeSite(site));
+  const models = [
+    {name: 'small', cost: 0.1},
+    {name: 'large', cost: 1},
+  ];
+  configure(
+    site,
+    [route({kind: 'stream', resumable: true, sizes: ['small', 'large']})],
+    {services: [{name: 'api', health_path: '/healthz', engine: {models}}]},
+  );
+  const entry = await startNode(site);
+  await until(() => entry.node.members.size === 1);
+  const [upstream] = site.runners;
+  upstream.script = (request, response) =>
+    void response
+      .writeHead(200, {
+        ...createSeal(request),
+        'content-type': 'text/event-stream',
+        'Server-Limit': '0.1',
+        'X-Parsleyarch-Confidence': '10',
+      })
+      .end('id: 1\ndata: answer\n\n');
+  const answer = await call(entry, {
+    method: 'POST',
+    headers: {'x-parsleyarch-model': '*'},
+  });
+  t.is(answer.status, 200);
+  t.true(answer.body.includes('answer'));
+  t.is(upstream.requests.length, 1);
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -161,6 +161,17 @@
   readonly upstream: string;
   readonly incarnation: number;
 }
+/** What an upstream last said of the rate that it accepts from all nodes. */
+export interface UpstreamLimit {
+  readonly upstream: string;
+  readonly incarnation: number;
+  /** Whether it no longer names a limit. */
+  readonly ended: boolean;
+  /** Requests per second. */
+  readonly perSecond: number;
+  /** Time since a node heard it, milliseconds. */
+  readonly ageMs: number;
+}
 /** A request, or a segment of its prompt, that an upstream served when it ended. */
 export interface CrashSuspect {
   readonly key: string;
@@ -192,6 +203,7 @@
   readonly isGroup: boolean;
   /** Upstreams that are leaving, as far as the sender knows. */
   readonly leaving: readonly LeavingUpstream[];
+  readonly limits: readonly UpstreamLimit[];
 }
 /** How current a node's knowledge of the store is. */
 export interface Confirmation {
@@ -209,6 +221,7 @@
 export interface LoadSummary extends Confirmation, CrashReport {
   /** Upstreams that are leaving, as far as the collector knows. */
   readonly leaving: readonly LeavingUpstream[];
+  readonly limits: readonly UpstreamLimit[];
   readonly loads: readonly UpstreamLoad[];
 }
 /** Requests the store's changes after a revision. */
