Show that callers of nodes without connections to upstreams are not served

Three nodes, four upstreams; two nodes lose their connections, refused or hanging. From 3 s later none of the first attempts at them is served (deadline 1 s) and all of the third node's.

--- /dev/null
+++ b/apps/router/test/entry/cut-off.test.ts
@@ -0,0 +1,110 @@
+/** Tests of nodes that have lost their connections to all upstreams. */
+import {createSeal} from '@parsleyarch/standins/runner';
+import type {Entry} from '@parsleyarch/router/entry/serve';
+import test, {type ExecutionContext} from 'ava';
+import {CUTS, cutOff} from './cutting.js';
+import {
+  call,
+  closeSite,
+  configure,
+  route,
+  startNode,
+  startSite,
+  until,
+  type Site,
+} from './site.js';
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Time after which the callers of a cut node must be served, milliseconds. */
+const CONTACT_MS = 3_000;
+const INTERVAL_MS = 50;
+
+async function start(t: ExecutionContext, nodes: number): Promise<Site> {
+  const site = await startSite(4);
+  t.teardown(() => closeSite(site));
+  configure(site, [
+    route(),
+    route({name: 'once', path_prefix: '/once/', kind: 'non_idempotent'}),
+  ]);
+  for (let index = 0; index < nodes; index += 1) await startNode(site);
+  for (const {node} of site.entries)
+    await until(() => node.members.size === nodes);
+  return site;
+}
+
+/** Share of the requests to a node that are served at the first attempt. */
+async function measureServed(
+  entry: Entry,
+  durationMs: number,
+  path = '/a/x',
+): Promise<number> {
+  const end = performance.now() + durationMs;
+  const calls: Promise<boolean>[] = [];
+  const headers = {'x-parsleyarch-deadline-ms': '1000'};
+  while (performance.now() < end) {
+    calls.push(call(entry, {path, headers}).then(a => a.status === 200));
+    await wait(INTERVAL_MS);
+  }
+  const served = await Promise.all(calls);
+  return served.filter(Boolean).length / served.length;
+}
+
+for (const cut of CUTS) {
+  test(`callers of nodes whose connections to all upstreams are ${cut} are served as by the others`, async t => {
+    const site = await start(t, 3);
+    const [first, second] = site.entries;
+    const all = (durationMs: number) =>
+      Promise.all(site.entries.map(entry => measureServed(entry, durationMs)));
+    await all(500);
+    for (const entry of [first, second]) cutOff(entry, cut);
+    await all(CONTACT_MS);
+    const shares = await all(2_000);
+    t.log(shares);
+    const least = Math.min(shares[0], shares[1]);
+    t.true(least >= (2 / 3) * shares[2]);
+  });
+}
+
+test('a request that may not be repeated runs once when its node is cut off', async t => {
+  const site = await start(t, 2);
+  const [entry] = site.entries;
+  await measureServed(entry, 300, '/once/x');
+  cutOff(entry, 'refused');
+  await measureServed(entry, CONTACT_MS, '/once/x');
+  t.true((await measureServed(entry, 1_000, '/once/x')) > 2 / 3);
+  const attempts = site.runners.flatMap(({requests}) =>
+    requests.map(({attempt}) => attempt),
+  );
+  t.is(new Set(attempts).size, attempts.length);
+});
+
+test('the events of a stream pass as they come when its node is cut off', async t => {
+  const site = await start(t, 2);
+  configure(site, [route({kind: 'stream', resumable: true})]);
+  const [entry] = site.entries;
+  for (const runner of site.runners)
+    runner.script = async (request, response) => {
+      response.writeHead(200, {
+        ...createSeal(request),
+        'content-type': 'text/event-stream',
+      });
+      for (let id = 1; id <= 3; id += 1) {
+        response.write(`id: ${id}\ndata: e${id}\n\n`);
+        await wait(200);
+      }
+      response.end();
+    };
+  cutOff(entry, 'refused');
+  await measureServed(entry, CONTACT_MS);
+  const seenAt: number[] = [];
+  const answer = await call(entry, {
+    onBytes: () => seenAt.push(performance.now()),
+  });
+  t.true(answer.complete);
+  t.is(
+    answer.body,
+    [1, 2, 3].map(id => `id: ${id}\ndata: e${id}\n\n`).join(''),
+  );
+  t.true(seenAt.at(-1)! - seenAt[0] > 300);
+});
