Count a retry only if it has reached an upstream

Callers of nodes whose connections failed got 503, "retry budget used up (connection timed out)", within seconds, and so did callers of later requests there: each failed connection was counted as a retry, although the budget bounds arrivals at upstreams. Now a request without any arrival counts none, and a retry whose connection fails is returned to the moment at which it was counted.

--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -44,6 +44,10 @@
   body: Buffer;
   /** Sends so far, including refused ones. */
   sends: number;
+  /** Sends that have reached an upstream, including refused ones. */
+  arrivals: number;
+  /** When the send in progress was counted as a retry; absent if it was not. */
+  retryCountedAt?: number;
   /** Sends that upstreams may have run. */
   runs: number;
   /** Ids of the upstreams to which it was sent. */
@@ -148,6 +152,7 @@
     deadlineAt: now + waitMs,
     body: Buffer.alloc(0),
     sends: 0,
+    arrivals: 0,
     runs: 0,
     triedUpstreams: new Set(),
     crashes: 0,
--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -5,6 +5,7 @@
   createRetryWindow,
   retriesLeft,
   consumeRetry,
+  returnRetry,
   type RetryWindow,
 } from '@parsleyarch/policy/retry-window';
 import {findCrashDenial} from './crashes.js';
@@ -50,8 +51,10 @@
   const crashDenial = findCrashDenial(node, exchange);
   if (crashDenial) return crashDenial;
   const window = getRetryWindow(node, exchange.service);
+  const now = node.clock();
+  exchange.retryCountedAt = undefined;
   if (sends === 0) {
-    countFirstSend(window, node.clock());
+    countFirstSend(window, now);
     return undefined;
   }
   if (mayHaveRun(exchange) && !isRepeatable(exchange))
@@ -59,10 +62,28 @@
   if (runs >= route.maxAttempts) return 'no attempts left';
   if (sends >= route.maxAttempts + MAX_REFUSED_SEND_COUNT)
     return 'too many sends refused';
-  if (!consumeRetry(window, node.clock())) return 'retry budget used up';
+  // The budget counts arrivals beyond the first one of a request.
+  if (exchange.arrivals === 0) return undefined;
+  if (!consumeRetry(window, now)) return 'retry budget used up';
+  exchange.retryCountedAt = now;
   return undefined;
 }
 
+/** Counts a send that has reached its upstream, or returns the retry of one that has not. */
+export function recordArrival(
+  node: EntryNode,
+  exchange: Exchange,
+  arrived: boolean,
+): void {
+  if (arrived) {
+    exchange.arrivals += 1;
+    return;
+  }
+  if (exchange.retryCountedAt === undefined) return;
+  returnRetry(getRetryWindow(node, exchange.service), exchange.retryCountedAt);
+  exchange.retryCountedAt = undefined;
+}
+
 function hasAttemptLeft(exchange: Exchange): boolean {
   return isRepeatable(exchange) && exchange.runs < exchange.route.maxAttempts;
 }
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -5,6 +5,7 @@
 import {recordModelTime} from './models.js';
 import type {EntryNode} from './node.js';
 import {recordNotice} from './notices.js';
+import {recordArrival} from './retries.js';
 import type {Selection} from './selection.js';
 import {recordLimit} from './upstream-limits.js';
 import {
@@ -109,6 +110,7 @@
   const {upstream} = attempt;
   const tookMs = node.clock() - attempt.startedAt;
   node.metrics.attempts.inc({service: exchange.service, outcome: outcome.kind});
+  recordArrival(node, exchange, outcome.kind !== 'unsent');
   if (outcome.kind === 'answer' || outcome.kind === 'refused') {
     upstream.lastAnswerAt = node.clock();
     recordNotice(node, attempt.registered, outcome.answer);
--- a/apps/router/test/entry/cut-off.test.ts
+++ b/apps/router/test/entry/cut-off.test.ts
@@ -108,3 +108,13 @@
   );
   t.true(seenAt.at(-1)! - seenAt[0] > 300);
 });
+
+test('connections that fail use up no retries', async t => {
+  const site = await start(t, 1);
+  const [entry] = site.entries;
+  cutOff(entry, 'refused');
+  const calls = Array.from({length: 60}, () => call(entry));
+  for (const {status} of await Promise.all(calls)) t.is(status, 503);
+  const buckets = [...entry.node.retries.get('api')!.buckets.values()];
+  t.true(buckets.every(({retries}) => retries === 0));
+});
--- a/packages/policy/src/retry-window.ts
+++ b/packages/policy/src/retry-window.ts
@@ -85,3 +85,9 @@
   bucketAt(window, now).retries += 1;
   return true;
 }
+
+/** Returns a retry that was counted at a time, since nothing has arrived. */
+export function returnRetry(window: RetryWindow, consumedAt: number): void {
+  const bucket = window.buckets.get(Math.floor(consumedAt / BUCKET_MS));
+  if (bucket && bucket.retries > 0) bucket.retries -= 1;
+}
--- a/packages/policy/test/entry.test.ts
+++ b/packages/policy/test/entry.test.ts
@@ -6,6 +6,7 @@
   createRetryWindow,
   retriesLeft,
   consumeRetry,
+  returnRetry,
 } from '@parsleyarch/policy/retry-window';
 import {
   authorizeKey,
@@ -316,3 +317,15 @@
   }
   t.true(totals.chosen > totals.smallest && totals.chosen > totals.largest);
 });
+
+test('a retry that has not arrived can be made again, and counts no longer', t => {
+  const window = createRetryWindow({windowMs: 5_000, ratio: 0, slack: 2});
+  t.true(consumeRetry(window, 0));
+  t.true(consumeRetry(window, 900));
+  t.false(consumeRetry(window, 1_000));
+  returnRetry(window, 900);
+  t.is(retriesLeft(window, 1_000), 1);
+  t.true(consumeRetry(window, 1_000));
+  returnRetry(window, 2_000);
+  t.is(retriesLeft(window, 2_000), 0);
+});
