Delegate requests to another node while this one reaches no upstream

Cause: a node that reaches no upstream tried one after the other for each request, 400 ms each, until time, sends or budget were used up. The class of fault: what a node cannot reach is taken for something that is down for everybody.

A node is cut off from a service once two of its upstreams fail on connections that began after the latest success. It probes then, tells the others with its reports of load, and sends requests to a node that is not cut off, over HTTP with the key that the nodes share. The delegate serves them as its own and never delegates further.

Further tests: runs once, events as they come, heals, misses some upstreams only, no node reaches any, a delegate ends, a caller leaves, forged fields, a broken stream.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -9,16 +9,23 @@
 import * as http from 'node:http';
 import type {EntryNode, UpstreamState} from './node.js';
 import type {Exchange} from './exchange.js';
+import {recordConnection} from './reachability.js';
 import type {Selection} from './selection.js';
 
-const CONNECT_TIMEOUT_MS = 400;
+export const CONNECT_TIMEOUT_MS = 400;
+const CONNECT_TIMEOUT_REASON = 'connection timed out';
 /** Maximum size of an answer that is buffered until it is complete. */
 export const MAX_BUFFERED_BYTES = 4 << 20;
 
 /** How a send ended, or the answer whose header has arrived. */
 export type Outcome =
   /** No part of the request has left this node. */
-  | {readonly kind: 'unsent'; readonly reason: string}
+  | {
+      readonly kind: 'unsent';
+      readonly reason: string;
+      /** Whether the upstream was not reached; false if the send was cancelled. */
+      readonly unreachable: boolean;
+    }
   /** The upstream states that the request did not run. */
   | {readonly kind: 'refused'; readonly answer: UpstreamAnswer}
   /** The request may have run, but no usable answer arrived. */
@@ -51,7 +58,10 @@
 }
 
 /** Whether a body that has ended was received completely. */
-export function isComplete({message, broken}: AnswerBody): boolean {
+export function isComplete({
+  message,
+  broken,
+}: Pick<AnswerBody, 'message' | 'broken'>): boolean {
   return message.complete && !broken;
 }
 
@@ -156,10 +166,12 @@
   upstream.pendingWork += addedWork;
   const outcome = new Promise<Outcome>(resolve => {
     const connectTimer = setTimeout(
-      () => cancel('connection timed out'),
+      () => cancel(CONNECT_TIMEOUT_REASON),
       CONNECT_TIMEOUT_MS,
     );
     const fail = (error?: Error) => {
+      const unreachable =
+        cancelReason === '' || cancelReason === CONNECT_TIMEOUT_REASON;
       const reason = cancelReason || error?.message || 'connection closed';
       resolve(
         connected
@@ -169,12 +181,13 @@
               tooLate: timedOut,
               closedByUpstream: cancelReason === '',
             }
-          : {kind: 'unsent', reason},
+          : {kind: 'unsent', reason, unreachable},
       );
     };
     outgoing.once('socket', socket => {
       socket.once('connect', () => {
         connected = true;
+        recordConnection(node, upstream);
         clearTimeout(connectTimer);
       });
     });
--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -166,6 +166,8 @@
     backoffMs: 0,
     sends: [],
     lastAnswerAt: 0,
+    connectedAt: -Infinity,
+    failedAt: -Infinity,
     promptSegmentSentAt: new Map(),
   };
   const reborn =
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -15,9 +15,11 @@
 } from './exchange.js';
 import {chooseLargerModel, recordConfidenceGain} from './models.js';
 import type {EntryNode} from './node.js';
+import {delegate, selectDelegate} from './delegation.js';
 import {findRefusalMs, recordBrokenAnswer, recordSurvival} from './crashes.js';
-import {readAnswerBody, writeHead} from './relay.js';
-import {endWithFailure, recordAnswer} from './reply.js';
+import {isCutOff} from './reachability.js';
+import {readAnswerBody} from './relay.js';
+import {endWithAnswer, endWithFailure, type BufferedAnswer} from './reply.js';
 import {reserveSend, mayAskLargerModel, mayHaveRun} from './retries.js';
 import {findPauseMs, findRetryPauseMs} from './exclusions.js';
 import {selectUpstream, type Selection} from './selection.js';
@@ -34,11 +36,6 @@
 /** Maximum wait for an upstream, as a fraction of the latency objective; at most 1 s. */
 const MAX_CAPACITY_WAIT_RATIO = 0.125;
 
-interface BufferedAnswer {
-  readonly answer: UpstreamAnswer;
-  readonly body: Buffer;
-}
-
 /** Result of the sends so far. */
 interface Progress {
   model?: string;
@@ -73,18 +70,6 @@
   }
 }
 
-function endWithAnswer(
-  node: EntryNode,
-  exchange: Exchange,
-  {answer, body}: BufferedAnswer,
-): void {
-  if (exchange.ended) return;
-  exchange.ended = true;
-  writeHead(node, exchange.response, answer, body.length);
-  exchange.response.end(body);
-  recordAnswer(node, exchange, answer.status, 'upstream');
-}
-
 /**
  * Statuses that tell a caller that its request has not run. They must not be
  * relayed for a request that may have run and may not be repeated.
@@ -242,6 +227,24 @@
   return handleOutcome(node, exchange, progress, outcome);
 }
 
+/** Serves a request through another node while this one is cut off. */
+async function sendOrDelegate(
+  node: EntryNode,
+  exchange: Exchange,
+  progress: Progress,
+): Promise<Step> {
+  if (exchange.isDelegated && isCutOff(node, exchange.service)) {
+    progress.reason = 'the delegate is cut off as well';
+    return Step.stop;
+  }
+  const member = selectDelegate(node, exchange);
+  if (!member) return sendOnce(node, exchange, progress);
+  const reason = await delegate(node, exchange, member);
+  if (reason === undefined) return Step.done;
+  progress.reason = reason;
+  return Step.retry;
+}
+
 function createFinalFailure(
   node: EntryNode,
   exchange: Exchange,
@@ -281,7 +284,7 @@
   const model = exchange.caller.anyModel ? exchange.route.models[0] : undefined;
   const progress: Progress = {model, reason: 'first send'};
   while (!exchange.ended) {
-    const step = await sendOnce(node, exchange, progress);
+    const step = await sendOrDelegate(node, exchange, progress);
     if (step === Step.done) return;
     if (step === Step.retry) continue;
     if (progress.errorAnswer)
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -17,6 +17,7 @@
 } from '@parsleyarch/resource/routing';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import type {Delegation} from './delegation.js';
 import {acceptsKeys} from './freshness.js';
 import type {EntryNode} from './node.js';
 import type {Side} from './versions.js';
@@ -52,6 +53,10 @@
   runs: number;
   /** Ids of the upstreams to which it was sent. */
   readonly triedUpstreams: Set<string>;
+  /** Whether another node has delegated it to this one. */
+  readonly isDelegated: boolean;
+  /** Names of the nodes to which this one has delegated it. */
+  readonly triedDelegates: Set<string>;
   /** Old or new version, while a roll-out of its service is under way. */
   side?: Side;
   /** Upstreams that ended while they served it. */
@@ -110,6 +115,7 @@
   node: EntryNode,
   request: IncomingMessage,
   response: ServerResponse,
+  delegation?: Delegation,
 ): Result<Exchange, Failure> {
   const caller = readRequestHeaders(request.rawHeaders);
   const malformed = validateRequest(request, caller);
@@ -153,8 +159,11 @@
     body: Buffer.alloc(0),
     sends: 0,
     arrivals: 0,
-    runs: 0,
+    // Attempts that another node has used count here as well.
+    runs: delegation ? Math.max(0, route.maxAttempts - delegation.attempts) : 0,
     triedUpstreams: new Set(),
+    isDelegated: delegation !== undefined,
+    triedDelegates: new Set(),
     crashes: 0,
     freshFailed: false,
     ended: false,
--- a/apps/router/src/entry/ingress.ts
+++ b/apps/router/src/entry/ingress.ts
@@ -4,6 +4,7 @@
 import type {RoutingTable} from '@parsleyarch/resource/routing';
 import * as http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {acceptDelegation, type Delegation} from './delegation.js';
 import {dispatch} from './dispatch.js';
 import {createExchange, readRequestBody, type Exchange} from './exchange.js';
 import {confirmationAge, isReady} from './freshness.js';
@@ -59,6 +60,7 @@
   node: EntryNode,
   request: http.IncomingMessage,
   response: http.ServerResponse,
+  delegation?: Delegation,
 ): Promise<void> {
   if (isHeaderTooLarge(node, request))
     return writeFailure(
@@ -72,7 +74,7 @@
       response,
       failure('not-ready', 'stopping', {retryAfterMs: STOPPING_RETRY_AFTER_MS}),
     );
-  const created = createExchange(node, request, response);
+  const created = createExchange(node, request, response, delegation);
   if (created.isErr()) {
     const {kind, message} = created.error;
     node.logDecision('refuse', {
@@ -104,12 +106,13 @@
   node: EntryNode,
   request: http.IncomingMessage,
   response: http.ServerResponse,
+  delegation?: Delegation,
 ): Promise<void> {
   node.active += 1;
   node.metrics.inFlight.set(node.active);
   const closed = new Promise(resolve => response.once('close', resolve));
   try {
-    await serveRequest(node, request, response);
+    await serveRequest(node, request, response, delegation);
   } catch (thrown) {
     node.log.error({error: String(thrown)}, 'request failed unexpectedly');
     const problem = failure('internal', 'unexpected error');
@@ -159,6 +162,20 @@
   return server;
 }
 
+/** Creates the listener for requests that other nodes delegate to this one. */
+export function createDelegationListener(node: EntryNode): http.Server {
+  return http.createServer(
+    {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
+    (request, response) => {
+      const delegation = acceptDelegation(node, request);
+      if (delegation)
+        return void handleRequest(node, request, response, delegation);
+      node.log.warn('delegated request without the key of the nodes');
+      response.writeHead(403, {connection: 'close'}).end();
+    },
+  );
+}
+
 /** Creates the listener that answers the load balancer's readiness probes. */
 export function createReadinessListener(node: EntryNode): http.Server {
   return http.createServer((request, response) => {
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -9,6 +9,7 @@
 import {repeat} from '@parsleyarch/lifecycle/process';
 import {callPeer} from '@parsleyarch/peer/client';
 import type {
+  CutOffNode,
   LoadReport,
   LoadSummary,
   UpstreamLoad,
@@ -24,6 +25,7 @@
 import {applyConfirmation, leaveSource} from './follow.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {listLeaving, recordLeaving} from './notices.js';
+import {reportCutOff} from './reachability.js';
 import {listLimits, recordRelayedLimits} from './upstream-limits.js';
 
 const SHARE_TIMEOUT_MS = 300;
@@ -37,12 +39,15 @@
 interface TimedReport {
   readonly at: number;
   readonly loads: readonly UpstreamLoad[];
+  readonly cutOff: readonly CutOffNode[];
 }
 
 /** Load that the other nodes place on upstreams, as far as it is known. */
 export interface SharedLoad {
   /** Sums over the other nodes, by upstream. */
   others: ReadonlyMap<string, UpstreamLoad>;
+  /** Nodes that are cut off from upstreams, received with the sums. */
+  cutOff: readonly CutOffNode[];
   /** When the sums were received, monotonic milliseconds. */
   receivedAt: number;
   /** Reports of the nodes of this collector's group, by node. */
@@ -56,6 +61,7 @@
 export function createSharedLoad(): SharedLoad {
   return {
     others: new Map(),
+    cutOff: [],
     receivedAt: -Infinity,
     reports: new Map(),
     groups: new Map(),
@@ -91,13 +97,13 @@
 /** Answers a report: keeps it, and returns the load that its sender lacks. */
 export function collectLoad(
   node: EntryNode,
-  {node: name, loads, isGroup, leaving, limits, ...crashes}: LoadReport,
+  {node: name, loads, isGroup, leaving, limits, cutOff, ...crashes}: LoadReport,
 ): LoadSummary {
   recordLeaving(node, leaving);
   recordRelayedLimits(node, limits);
   mergeCrashes(node, crashes);
   const {reports, groups} = node.load;
-  const report = {at: node.clock(), loads};
+  const report = {at: node.clock(), loads, cutOff};
   if (!isGroup) reports.set(name, report);
   else groups.set(name, report);
   // Another collector lacks only this group; a node lacks all but its own load.
@@ -106,6 +112,7 @@
     loads: sums,
     leaving: listLeaving(node),
     limits: listLimits(node),
+    cutOff: isGroup ? listGroupCutOff(node) : listCutOff(node),
     ...reportCrashes(node, crashes.crashDigest),
     ...reportConfirmation(node),
   };
@@ -137,6 +144,16 @@
   return [...sums.values()];
 }
 
+/** Nodes that report to this one and are cut off from upstreams. */
+function listGroupCutOff(node: EntryNode): CutOffNode[] {
+  return [...node.load.reports.values()].flatMap(({cutOff}) => cutOff);
+}
+
+function listCutOff(node: EntryNode): CutOffNode[] {
+  const groups = [...node.load.groups.values()];
+  return [...listGroupCutOff(node), ...groups.flatMap(({cutOff}) => cutOff)];
+}
+
 function addLoads(
   sums: Map<string, UpstreamLoad>,
   loads: readonly UpstreamLoad[],
@@ -155,8 +172,12 @@
   return (node.load.skipped.get(name) ?? 0) > node.clock();
 }
 
-function applySums(node: EntryNode, loads: readonly UpstreamLoad[]): void {
+function applySums(
+  node: EntryNode,
+  {loads, cutOff}: Pick<LoadSummary, 'loads' | 'cutOff'>,
+): void {
   node.load.others = new Map(loads.map(load => [load.upstream, load]));
+  node.load.cutOff = cutOff;
   node.load.receivedAt = node.clock();
 }
 
@@ -164,7 +185,7 @@
 async function sendReport(
   node: EntryNode,
   collector: string,
-  load: Pick<LoadReport, 'node' | 'loads' | 'isGroup'>,
+  load: Pick<LoadReport, 'node' | 'loads' | 'isGroup' | 'cutOff'>,
 ): Promise<LoadSummary | undefined> {
   const address = node.members.get(collector)?.address;
   const {client} = node.peers;
@@ -209,11 +230,12 @@
     node: node.settings.node,
     loads: sumGroup(node),
     isGroup: true,
+    cutOff: listGroupCutOff(node),
   };
   const summary = await sendReport(node, collector, report);
   if (!summary) return;
-  const {loads} = summary;
-  node.load.groups.set(collector, {at: node.clock(), loads});
+  const {loads, cutOff} = summary;
+  node.load.groups.set(collector, {at: node.clock(), loads, cutOff});
 }
 
 /** As a collector, adds this node's load and exchanges sums with the others. */
@@ -223,14 +245,15 @@
 ): Promise<void> {
   const name = node.settings.node;
   const loads = listLocalLoads(node);
-  node.load.reports.set(name, {at: node.clock(), loads});
+  const cutOff = reportCutOff(node);
+  node.load.reports.set(name, {at: node.clock(), loads, cutOff});
   // One call serves both directions, so the first of two by name makes it.
   const called = collectors.filter(
     other => other > name && !isSkipped(node, other),
   );
   if (hasGroups(node.members.size))
     await Promise.all(called.map(other => exchangeGroups(node, other)));
-  applySums(node, sumOthers(node, name));
+  applySums(node, {loads: sumOthers(node, name), cutOff: listCutOff(node)});
 }
 
 async function shareOnce(node: EntryNode): Promise<void> {
@@ -244,9 +267,10 @@
   const collector = collectors.find(other => !isSkipped(node, other));
   if (collector === undefined) return;
   const loads = listLocalLoads(node);
-  const report = {node: name, loads, isGroup: false};
+  const cutOff = reportCutOff(node);
+  const report = {node: name, loads, isGroup: false, cutOff};
   const summary = await sendReport(node, collector, report);
-  if (summary) applySums(node, summary.loads);
+  if (summary) applySums(node, summary);
 }
 
 /** Shares load until the node stops. */
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -32,7 +32,11 @@
 const MEMBERS_PREFIX = `${STORE_KEY.router}nodes/`;
 const PEER_KEY = `${STORE_KEY.router}peer-key`;
 
-const MemberEntry = z.object({address: z.string(), failureDomain: z.string()});
+const MemberEntry = z.object({
+  address: z.string(),
+  delegation: z.string().optional(),
+  failureDomain: z.string(),
+});
 const PlanEntry = z.object({
   order: z.number(),
   service: z.string(),
@@ -51,8 +55,8 @@
 }
 
 function encodeMember(node: EntryNode): Buffer {
-  const {peers: address, failureDomain} = node.settings;
-  return Buffer.from(JSON.stringify({address, failureDomain}));
+  const {peers: address, delegation, failureDomain} = node.settings;
+  return Buffer.from(JSON.stringify({address, delegation, failureDomain}));
 }
 
 async function register(
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -9,6 +9,7 @@
   readonly models: Counter<'model' | 'use'>;
   readonly notices: Counter<'kind'>;
   readonly crashes: Counter<'service'>;
+  readonly delegations: Counter<'outcome'>;
   readonly restorations: Counter;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
@@ -50,6 +51,12 @@
       labelNames: ['service'],
       registers,
     }),
+    delegations: new Counter({
+      name: 'parsleyarch_entry_delegations_total',
+      help: 'Requests sent to other nodes, by outcome',
+      labelNames: ['outcome'],
+      registers,
+    }),
     restorations: new Counter({
       name: 'parsleyarch_entry_store_restorations_total',
       help: 'Times that the store was found restored from a copy',
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -31,6 +31,7 @@
 import {randomUUID} from 'node:crypto';
 import * as http from 'node:http';
 import {createCrashes, type Crashes} from './crashes.js';
+import type {Delegates} from './delegation.js';
 import {createFeed, type Feed} from './feed.js';
 import {createFollowing, type Following} from './follow.js';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
@@ -69,6 +70,10 @@
   /** Times of recent sends, oldest first; kept for the cold limit. */
   sends: number[];
   lastAnswerAt: number;
+  /** When this node last connected to it, monotonic milliseconds. */
+  connectedAt: number;
+  /** When the last connection to it that failed began, monotonic milliseconds. */
+  failedAt: number;
   /** When prompt segments were last sent to it, by cache key. */
   readonly promptSegmentSentAt: Map<string, number>;
   /** When its entry disappeared in a store outage; absent while it exists. */
@@ -88,6 +93,8 @@
 export interface Member extends ListedNode, RendezvousMember {
   /** host:port of its peer listener. */
   readonly address: string;
+  /** host:port of its listener for delegated requests; absent if it has none. */
+  readonly delegation?: string;
 }
 
 /** Connections to other nodes; empty until the shared key is known. */
@@ -106,6 +113,8 @@
   readonly keyspace: Keyspace;
   /** Connections to upstreams. */
   readonly agent: http.Agent;
+  /** Connections to nodes that serve requests for this one. */
+  readonly peerAgent: http.Agent;
   /** Monotonic milliseconds. */
   readonly clock: () => number;
   readonly random: () => number;
@@ -123,6 +132,7 @@
   readonly models: ModelStatistics;
   readonly load: SharedLoad;
   readonly crashes: Crashes;
+  readonly delegates: Delegates;
   readonly holderState: HolderState;
   readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
@@ -187,6 +197,7 @@
       settings.store.timeoutMs,
     ),
     agent: new http.Agent({keepAlive: false, maxSockets: Infinity}),
+    peerAgent: new http.Agent({keepAlive: false, maxSockets: Infinity}),
     clock: () => performance.now(),
     random: Math.random,
     upstreams: new Map(),
@@ -198,6 +209,7 @@
     models: createModelStatistics(),
     load: createSharedLoad(),
     crashes: createCrashes(),
+    delegates: {skipped: new Map()},
     holderState: createHolderState(),
     peers: {},
     retries: new Map(),
--- /dev/null
+++ b/apps/router/src/entry/reachability.ts
@@ -0,0 +1,120 @@
+/**
+ * Whether this node can connect to the upstreams of a service. While it cannot, it
+ * probes them, and tells other nodes, which then do not delegate requests to it.
+ */
+import {registerResource} from '@parsleyarch/lifecycle/manager';
+import {repeat} from '@parsleyarch/lifecycle/process';
+import type {CutOffNode} from '@parsleyarch/peer/messages';
+import {areUnreachable} from '@parsleyarch/policy/reachability';
+import type * as http from 'node:http';
+import type {Socket} from 'node:net';
+import type {EntryNode, UpstreamState} from './node.js';
+
+const PROBE_INTERVAL_MS = 500;
+const PROBE_TIMEOUT_MS = 400;
+/** Upstreams of a service that are probed at the same time. */
+const PROBE_COUNT = 3;
+
+/** Whether connections to the upstreams of a service fail, or to all upstreams. */
+export function isCutOff(node: EntryNode, service: string): boolean {
+  const all = [...node.upstreams.values()];
+  const own = all.filter(({registered}) => registered.service === service);
+  return areUnreachable(own) || (own.length > 0 && areUnreachable(all));
+}
+
+/** Services whose upstreams this node cannot connect to. */
+function listCutOffServices(node: EntryNode): string[] {
+  const services = new Set<string>();
+  for (const {registered} of node.upstreams.values())
+    services.add(registered.service);
+  return [...services].filter(service => isCutOff(node, service));
+}
+
+/** This node if it is cut off from a service, for other nodes. */
+export function reportCutOff(node: EntryNode): CutOffNode[] {
+  const services = listCutOffServices(node);
+  return services.length > 0 ? [{node: node.settings.node, services}] : [];
+}
+
+/** Failures of connections that this node has lost say nothing of upstreams. */
+function forgetFailures(state: UpstreamState): void {
+  state.failures = [];
+  state.backoffUntil = 0;
+  state.backoffMs = 0;
+}
+
+/** Records an established connection to an upstream. */
+export function recordConnection(node: EntryNode, state: UpstreamState): void {
+  const {service} = state.registered;
+  const wasCutOff = isCutOff(node, service);
+  state.connectedAt = node.clock();
+  if (!wasCutOff || isCutOff(node, service)) return;
+  for (const other of node.upstreams.values()) {
+    if (other.registered.service === service) forgetFailures(other);
+  }
+  node.log.info({service}, 'upstreams of the service reached again');
+}
+
+/** Records a connection to an upstream that could not be established. */
+export function recordFailedConnection(
+  node: EntryNode,
+  state: UpstreamState,
+  startedAt: number,
+): void {
+  const {service} = state.registered;
+  const wasCutOff = isCutOff(node, service);
+  state.failedAt = Math.max(state.failedAt, startedAt);
+  if (wasCutOff || !isCutOff(node, service)) return;
+  node.log.warn({service}, 'no upstream of the service can be reached');
+  void probeService(node, service);
+}
+
+/** Opens a connection to an upstream and closes it; returns whether it opened. */
+export function canConnect(
+  agent: http.Agent,
+  address: string,
+): Promise<boolean> {
+  const [host, port] = address.split(':');
+  const options = {host, port: Number(port)};
+  return new Promise(resolve => {
+    const socket = agent.createConnection(options, () => {}) as Socket;
+    const finish = (connected: boolean) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(connected);
+    };
+    const timer = setTimeout(() => finish(false), PROBE_TIMEOUT_MS);
+    socket.once('connect', () => finish(true));
+    socket.once('error', () => finish(false));
+  });
+}
+
+async function probe(node: EntryNode, state: UpstreamState): Promise<void> {
+  const startedAt = node.clock();
+  if (await canConnect(node.agent, state.registered.address))
+    recordConnection(node, state);
+  else recordFailedConnection(node, state, startedAt);
+}
+
+/** Probes those upstreams of a service that have not failed for longest. */
+async function probeService(node: EntryNode, service: string): Promise<void> {
+  const states = [...node.upstreams.values()].filter(
+    ({registered}) => registered.service === service && !registered.draining,
+  );
+  states.sort((a, b) => a.failedAt - b.failedAt);
+  const probed = states.slice(0, PROBE_COUNT);
+  await Promise.all(probed.map(state => probe(node, state)));
+}
+
+/** Probes the upstreams of services that this node is cut off from. */
+export function probeWhileCutOff(node: EntryNode): void {
+  const running = repeat(
+    PROBE_INTERVAL_MS,
+    async () => {
+      const services = listCutOffServices(node);
+      await Promise.all(services.map(service => probeService(node, service)));
+    },
+    error => node.log.error({error: String(error)}, 'probing failed'),
+  );
+  registerResource(node.manager, 'reachability', () => void running.end());
+}
--- a/apps/router/src/entry/relay.ts
+++ b/apps/router/src/entry/relay.ts
@@ -20,7 +20,7 @@
 
 /** Reads a complete body; `undefined` if it is truncated or too large. */
 export async function readAnswerBody(
-  body: AnswerBody,
+  body: Pick<AnswerBody, 'message' | 'broken'>,
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let size = 0;
--- a/apps/router/src/entry/reply.ts
+++ b/apps/router/src/entry/reply.ts
@@ -1,8 +1,10 @@
 /** Error answers of the router, and the log entry and metric of every answer. */
 import {ERROR_RESPONSES, type Failure} from '@parsleyarch/errors/failure';
+import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {ServerResponse} from 'node:http';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
+import {writeHead} from './relay.js';
 
 const MS_PER_SECOND = 1_000;
 /** Failures after which the connection is closed, as its input is not read further. */
@@ -78,3 +80,22 @@
   recordAnswer(node, exchange, status, `${problem.kind}: ${problem.message}`);
   writeFailure(node, response, problem);
 }
+
+/** A complete answer of an upstream. */
+export interface BufferedAnswer {
+  readonly answer: UpstreamAnswer;
+  readonly body: Buffer;
+}
+
+/** Ends a request with the answer of an upstream. */
+export function endWithAnswer(
+  node: EntryNode,
+  exchange: Exchange,
+  {answer, body}: BufferedAnswer,
+): void {
+  if (exchange.ended) return;
+  exchange.ended = true;
+  writeHead(node, exchange.response, answer, body.length);
+  exchange.response.end(body);
+  recordAnswer(node, exchange, answer.status, 'upstream');
+}
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -5,6 +5,7 @@
 import {recordModelTime} from './models.js';
 import type {EntryNode} from './node.js';
 import {recordNotice} from './notices.js';
+import {recordFailedConnection} from './reachability.js';
 import {recordArrival} from './retries.js';
 import type {Selection} from './selection.js';
 import {recordLimit} from './upstream-limits.js';
@@ -127,6 +128,8 @@
     outcome.kind !== 'answer' || (outcome.answer?.status ?? 0) >= 500;
   if (failed && !exchange.ended) recordFailure(node, upstream);
   recordReachability(node, upstream, outcome.kind);
+  if (outcome.kind === 'unsent' && outcome.unreachable)
+    recordFailedConnection(node, upstream, attempt.startedAt);
   recordVersionOutcome(node, exchange, upstream, {outcome, tookMs, model});
   node.logDecision('attempt', {
     requestId: exchange.caller.attemptId,
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -11,12 +11,14 @@
 import {
   applyCallerLimits,
   createCallerListener,
+  createDelegationListener,
   createMetricsListener,
   createReadinessListener,
   listen,
 } from './ingress.js';
 import {answerConsultation, runRollouts} from './holder.js';
 import {collectLoad, shareLoads} from './load.js';
+import {probeWhileCutOff} from './reachability.js';
 import {keepRegistered, routerSubscriber} from './membership.js';
 import {createEntryNode, type EntryNode} from './node.js';
 import type {EntrySettings} from './settings.js';
@@ -48,14 +50,19 @@
  * balancer time to notice, refuses new connections and requests, and waits for
  * running requests until the grace period ends.
  */
-async function drain(node: EntryNode, ingress: Server): Promise<void> {
+async function drain(
+  node: EntryNode,
+  listeners: readonly Server[],
+): Promise<void> {
   const endsAt = node.clock() + node.settings.stop.graceSeconds * 1_000;
   node.stopping = true;
   node.log.info({active: node.active}, 'stopping');
   await wait(BALANCER_LAG_MS);
   node.refusing = true;
-  ingress.close();
-  ingress.closeIdleConnections();
+  for (const listener of listeners) {
+    listener.close();
+    listener.closeIdleConnections();
+  }
   while (node.active > 0 && node.clock() < endsAt - CLOSING_MARGIN_MS)
     await wait(DRAIN_POLL_MS);
   if (node.active > 0)
@@ -63,7 +70,7 @@
       {active: node.active},
       'grace period ended; closing connections of running requests',
     );
-  ingress.closeAllConnections();
+  for (const listener of listeners) listener.closeAllConnections();
 }
 
 async function servePeers(node: EntryNode): Promise<void> {
@@ -96,6 +103,8 @@
   node.onConfiguration = table => applyCallerLimits(ingress, table);
   // Connections are accepted at once; requests get 503 before a configuration.
   await listen(ingress, settings.callers);
+  const delegation = createDelegationListener(node);
+  await listen(delegation, settings.delegation);
   node.onPeerKey = () => void servePeers(node);
   node.feed.subscribers.push(
     routerSubscriber(node),
@@ -106,8 +115,11 @@
   keepRegistered(node);
   runRollouts(node);
   shareLoads(node);
+  probeWhileCutOff(node);
   // Registered last, hence stopped first: requests end before anything else.
-  registerResource(manager, 'callers', () => drain(node, ingress));
+  registerResource(manager, 'callers', () =>
+    drain(node, [ingress, delegation]),
+  );
   await firstRead;
   node.serving = true;
   node.log.info(
--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -18,6 +18,8 @@
   readiness: Address,
   /** Listener for other nodes. */
   peers: Address,
+  /** Listener for requests that other nodes delegate to this one. */
+  delegation: Address,
   /** Listener for metrics. */
   metrics: Address,
   store: z.strictObject({
--- a/apps/router/test/entry/cut-off.test.ts
+++ b/apps/router/test/entry/cut-off.test.ts
@@ -118,3 +118,147 @@
   const buckets = [...entry.node.retries.get('api')!.buckets.values()];
   t.true(buckets.every(({retries}) => retries === 0));
 });
+
+async function countDelegations({node}: Entry): Promise<number> {
+  const {values} = await node.metrics.delegations.get();
+  return values.reduce((sum, {value}) => sum + value, 0);
+}
+
+const countRequests = ({runners}: Site) =>
+  runners.reduce((sum, {requests}) => sum + requests.length, 0);
+
+test('a node serves its callers itself once it reaches upstreams again', async t => {
+  const site = await start(t, 2);
+  const [entry] = site.entries;
+  const heal = cutOff(entry, 'hanging');
+  await measureServed(entry, CONTACT_MS);
+  t.true((await countDelegations(entry)) > 0);
+  heal();
+  await wait(1_500);
+  const before = await countDelegations(entry);
+  t.is(await measureServed(entry, 1_000), 1);
+  t.is(await countDelegations(entry), before);
+  const ports = site.runners.map(({requests}) => requests.length);
+  t.true(ports.every(count => count > 0));
+});
+
+test('a node that misses some upstreams uses the others and delegates nothing for long', async t => {
+  const site = await start(t, 2);
+  const [entry] = site.entries;
+  await measureServed(entry, 500);
+  const ports = site.runners.slice(0, 2).map(({server}) => server.port);
+  cutOff(entry, 'hanging', {ports});
+  await measureServed(entry, CONTACT_MS);
+  const before = await countDelegations(entry);
+  t.true((await measureServed(entry, 2_000)) > 2 / 3);
+  t.log((await countDelegations(entry)) - before);
+  t.true((await countDelegations(entry)) - before <= 5);
+});
+
+test('requests are refused at once if no node reaches their upstreams', async t => {
+  const site = await start(t, 3);
+  for (const entry of site.entries) cutOff(entry, 'refused');
+  for (const entry of site.entries) await measureServed(entry, 1_000);
+  for (const entry of site.entries) {
+    const refused = await call(entry);
+    t.is(refused.status, 503);
+    t.true(refused.tookMs < 500);
+    t.truthy(refused.headers['retry-after']);
+  }
+});
+
+test('another node is asked if the delegate has ended', async t => {
+  const site = await start(t, 3);
+  const [entry, second, third] = site.entries;
+  cutOff(entry, 'refused');
+  await measureServed(entry, 1_000);
+  second.node.settings.stop.graceSeconds = 0;
+  const stopped = second.stop();
+  t.true((await measureServed(entry, 2_000)) > 0.9);
+  await stopped;
+  t.true(third.node.upstreams.size > 0);
+});
+
+test('the work of an upstream ends when the caller of a cut node leaves', async t => {
+  const site = await start(t, 2);
+  const [entry] = site.entries;
+  cutOff(entry, 'refused');
+  await measureServed(entry, 1_000);
+  const before = new Set(site.runners.flatMap(({requests}) => requests));
+  for (const runner of site.runners) runner.script = () => {};
+  const started = () =>
+    site.runners
+      .flatMap(({requests}) => requests)
+      .filter(request => !before.has(request));
+  void call(entry, {
+    onSent: sent =>
+      void until(() => started().length > 0).then(() => sent.destroy()),
+  });
+  await until(() => started().length === 1 && started()[0].aborted);
+  t.pass();
+});
+
+test('a large body reaches the upstream of a delegate unchanged', async t => {
+  const site = await start(t, 2);
+  const [entry] = site.entries;
+  cutOff(entry, 'refused');
+  await measureServed(entry, 1_000);
+  const body = 'x'.repeat(90_000);
+  const answer = await call(entry, {
+    method: 'POST',
+    body,
+    headers: {
+      'x-delegated-attempts': '0',
+      'x-peer-key': 'forged',
+      'x-own': '1',
+    },
+  });
+  t.is(answer.status, 200);
+  const received = site.runners
+    .flatMap(({requests}) => requests)
+    .find(({headers}) => headers['x-own'] === '1');
+  t.is(received?.body, body);
+  t.is(received?.headers['x-peer-key'], undefined);
+  t.is(received?.headers['x-delegated-attempts'], undefined);
+});
+
+test('a request to the listener for delegated requests without the key is rejected', async t => {
+  const site = await start(t, 1);
+  const [{node}] = site.entries;
+  const [host, port] = node.settings.delegation.split(':');
+  const before = countRequests(site);
+  for (const key of [undefined, '', 'forged']) {
+    const response = await fetch(`http://${host}:${port}/a/x`, {
+      headers: {
+        'x-delegated-attempts': '2',
+        ...(key === undefined ? {} : {'x-peer-key': key}),
+      },
+    });
+    t.is(response.status, 403);
+  }
+  t.is(countRequests(site), before);
+});
+
+test('the answer of a delegate that breaks off is not relayed as complete', async t => {
+  const site = await start(t, 2);
+  configure(site, [route({kind: 'stream'})]);
+  const [entry, other] = site.entries;
+  cutOff(entry, 'refused');
+  await measureServed(entry, 1_000);
+  for (const runner of site.runners)
+    runner.script = (request, response) => {
+      response.writeHead(200, {
+        ...createSeal(request),
+        'content-type': 'text/event-stream',
+      });
+      response.write('id: 1\ndata: e1\n\n');
+    };
+  const answer = await call(entry, {
+    onBytes: () => {
+      const sockets = Object.values(other.node.agent.sockets).flat();
+      for (const socket of sockets) socket?.resetAndDestroy();
+    },
+  });
+  t.is(answer.status, 200);
+  t.false(answer.complete);
+});
--- a/apps/router/test/entry/cutting.ts
+++ b/apps/router/test/entry/cutting.ts
@@ -1,4 +1,4 @@
-/** Cuts the connections of one node to all upstreams; other nodes keep theirs. */
+/** Cuts the connections of one node to upstreams; other nodes keep theirs. */
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import * as net from 'node:net';
 
@@ -16,17 +16,25 @@
 export type Cut = keyof typeof OPENERS;
 export const CUTS = Object.keys(OPENERS) as Cut[];
 
-/**
- * Cuts a node from all upstreams; open connections live on unless `reset` says
- * otherwise. Returns a function that heals the cut.
- */
+/** Which connections are cut. */
+export interface CutScope {
+  /** Whether open connections are reset; they live on otherwise. */
+  readonly reset?: boolean;
+  /** Ports of the upstreams that are cut; all by default. */
+  readonly ports?: readonly number[];
+}
+
+/** Cuts a node from upstreams; returns a function that heals the cut. */
 export function cutOff(
   {node: {agent}}: Entry,
   cut: Cut,
-  {reset = false} = {},
+  {reset = false, ports}: CutScope = {},
 ): () => void {
   const open = agent.createConnection;
-  agent.createConnection = OPENERS[cut];
+  agent.createConnection = (options, done) => {
+    const isCut = !ports || ports.includes(Number(options.port));
+    return isCut ? OPENERS[cut]() : open.call(agent, options, done);
+  };
   if (reset) {
     const sockets = Object.values(agent.sockets).flat();
     for (const socket of sockets) socket?.resetAndDestroy();
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -27,7 +27,13 @@
   return nodes;
 }
 
-const NOTHING_ELSE = {leaving: [], limits: [], crashDigest: 0, crashes: []};
+const NOTHING_ELSE = {
+  leaving: [],
+  limits: [],
+  cutOff: [],
+  crashDigest: 0,
+  crashes: [],
+};
 
 const loadOf = (pending: number) => [{upstream: 'i-1', pending, streaming: 1}];
 
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -59,6 +59,8 @@
     backoffMs: 0,
     sends: [],
     lastAnswerAt: 0,
+    connectedAt: -Infinity,
+    failedAt: -Infinity,
     promptSegmentSentAt: new Map(),
   };
   node.upstreams.set(id, state);
--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -29,6 +29,7 @@
     callers: await address(),
     readiness: await address(),
     peers: await address(),
+    delegation: await address(),
     metrics: await address(),
     store: {address: store.server.address, timeoutMs: 500},
     configuration: {applyMs: 2_000},
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -195,6 +195,11 @@
   /** Empty if the receiver is known to have the same digest. */
   readonly crashes: readonly CrashedUpstream[];
 }
+/** A node that cannot connect to the upstreams of some services. */
+export interface CutOffNode {
+  readonly node: string;
+  readonly services: readonly string[];
+}
 /** The load that one node, or the nodes of its group, placed on each upstream. */
 export interface LoadReport extends CrashReport {
   readonly node: string;
@@ -204,6 +209,8 @@
   /** Upstreams that are leaving, as far as the sender knows. */
   readonly leaving: readonly LeavingUpstream[];
   readonly limits: readonly UpstreamLimit[];
+  /** The sender, or nodes of its group, if they are cut off from upstreams. */
+  readonly cutOff: readonly CutOffNode[];
 }
 /** How current a node's knowledge of the store is. */
 export interface Confirmation {
@@ -222,6 +229,8 @@
   /** Upstreams that are leaving, as far as the collector knows. */
   readonly leaving: readonly LeavingUpstream[];
   readonly limits: readonly UpstreamLimit[];
+  /** Nodes that are cut off from upstreams, as far as the collector knows. */
+  readonly cutOff: readonly CutOffNode[];
   readonly loads: readonly UpstreamLoad[];
 }
 /** Requests the store's changes after a revision. */
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -22,11 +22,16 @@
 /** Metadata field with the key that all nodes share. */
 export const PEER_KEY_FIELD = 'x-peer-key';
 
+/** Compares keys in a time that does not depend on where they differ. */
+export function isSameKey(received: string, expected: string): boolean {
+  const receivedBytes = Buffer.from(received);
+  const expectedBytes = Buffer.from(expected);
+  if (receivedBytes.length !== expectedBytes.length) return false;
+  return timingSafeEqual(receivedBytes, expectedBytes);
+}
+
 function hasKey(metadata: Metadata, key: string): boolean {
-  const received = Buffer.from(String(metadata.get(PEER_KEY_FIELD)[0] ?? ''));
-  const expected = Buffer.from(key);
-  if (received.length !== expected.length) return false;
-  return timingSafeEqual(received, expected);
+  return isSameKey(String(metadata.get(PEER_KEY_FIELD)[0] ?? ''), key);
 }
 
 function createUnaryHandler<C extends PeerCall>(
