Take refused connections for a crash only if another upstream is reached

A node whose links to all upstreams are reset and then refused saw a crash in each stream that broke off: four crashes in the new test, told to all nodes, so that after the third one every node refused requests with the same prompt segment. Looked for as the same class as the lost links: what one node cannot reach is taken for down.

A refusal counts once the node connects to another upstream, of another service first, as those of one service may end together.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -18,11 +18,11 @@
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import {wait} from '@parsleyarch/lifecycle/process';
 import {createHash} from 'node:crypto';
-import * as net from 'node:net';
 import type {AnswerBody, Send} from './attempt.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {isLeaving} from './notices.js';
+import {openConnection, reachesOthers} from './reachability.js';
 
 /** Time after which a listener of a process that ended is closed as well. */
 const LISTENER_CLOSE_MS = 20;
@@ -68,10 +68,12 @@
 }
 
 /** Whether an address refuses connections; false if it does not respond. */
-function refusesConnections(address: string): Promise<boolean> {
-  const [host, port] = address.split(':');
+function refusesConnections(
+  {agent}: EntryNode,
+  address: string,
+): Promise<boolean> {
   return new Promise(resolve => {
-    const socket = net.connect({host, port: Number(port)});
+    const socket = openConnection(agent, address);
     const finish = (refused: boolean) => {
       socket.destroy();
       resolve(refused);
@@ -100,7 +102,9 @@
 ): Promise<boolean> {
   if (!isExpectedToRun(node, upstream)) return false;
   await wait(LISTENER_CLOSE_MS);
-  return refusesConnections(upstream.address);
+  if (!(await refusesConnections(node, upstream.address))) return false;
+  // A node that has lost its own links gets refusals from all upstreams.
+  return reachesOthers(node, upstream);
 }
 
 /** Probes an upstream; requests that break off at the same time share a probe. */
--- a/apps/router/src/entry/reachability.ts
+++ b/apps/router/src/entry/reachability.ts
@@ -6,6 +6,7 @@
 import {repeat} from '@parsleyarch/lifecycle/process';
 import type {CutOffNode} from '@parsleyarch/peer/messages';
 import {areUnreachable} from '@parsleyarch/policy/reachability';
+import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import type * as http from 'node:http';
 import type {Socket} from 'node:net';
 import type {EntryNode, UpstreamState} from './node.js';
@@ -69,15 +70,20 @@
   void probeService(node, service);
 }
 
+/** Opens a connection to an upstream without sending anything. */
+export function openConnection(agent: http.Agent, address: string): Socket {
+  const [host, port] = address.split(':');
+  const options = {host, port: Number(port)};
+  return agent.createConnection(options, () => {}) as Socket;
+}
+
 /** Opens a connection to an upstream and closes it; returns whether it opened. */
 export function canConnect(
   agent: http.Agent,
   address: string,
 ): Promise<boolean> {
-  const [host, port] = address.split(':');
-  const options = {host, port: Number(port)};
   return new Promise(resolve => {
-    const socket = agent.createConnection(options, () => {}) as Socket;
+    const socket = openConnection(agent, address);
     const finish = (connected: boolean) => {
       clearTimeout(timer);
       socket.destroy();
@@ -89,11 +95,35 @@
   });
 }
 
-async function probe(node: EntryNode, state: UpstreamState): Promise<void> {
+async function probe(node: EntryNode, state: UpstreamState): Promise<boolean> {
   const startedAt = node.clock();
-  if (await canConnect(node.agent, state.registered.address))
-    recordConnection(node, state);
+  const connected = await canConnect(node.agent, state.registered.address);
+  if (connected) recordConnection(node, state);
   else recordFailedConnection(node, state, startedAt);
+  return connected;
+}
+
+/** Whether this node reaches another upstream, or there is none. */
+export async function reachesOthers(
+  node: EntryNode,
+  {id, service}: RegisteredUpstream,
+): Promise<boolean> {
+  const others = [...node.upstreams.values()].filter(
+    ({registered}) => registered.id !== id && !registered.draining,
+  );
+  if (others.length === 0) return true;
+  // Upstreams of one service may end together.
+  const isOther = ({registered}: UpstreamState) =>
+    Number(registered.service !== service);
+  others.sort((a, b) => isOther(b) - isOther(a) || a.failedAt - b.failedAt);
+  const probes = others.slice(0, PROBE_COUNT).map(async state => {
+    if (!(await probe(node, state))) throw new Error('not reached');
+  });
+  // The first one that connects decides; others may not respond at all.
+  return Promise.any(probes).then(
+    () => true,
+    () => false,
+  );
 }
 
 /** Probes those upstreams of a service that have not failed for longest. */
--- a/apps/router/test/entry/cut-off.test.ts
+++ b/apps/router/test/entry/cut-off.test.ts
@@ -262,3 +262,23 @@
   t.is(answer.status, 200);
   t.false(answer.complete);
 });
+
+test('a node that loses its own connections does not accuse the requests of ending upstreams', async t => {
+  const site = await start(t, 2);
+  const [entry, other] = site.entries;
+  for (const runner of site.runners)
+    runner.script = (request, response) =>
+      void response.writeHead(200, createSeal(request)).write('begun');
+  const headers = {'x-parsleyarch-prompt-prefix': '1a:100,2b:50'};
+  const running = Array.from({length: 8}, () => call(entry, {headers}));
+  const started = () =>
+    site.runners.filter(({requests}) => requests.length > 0);
+  await until(() => started().length === site.runners.length);
+  cutOff(entry, 'refused', {reset: true});
+  for (const runner of site.runners) runner.script = undefined;
+  await Promise.all(running);
+  await wait(500);
+  t.is(entry.node.crashes.evidence.crashes.size, 0);
+  t.is(other.node.crashes.evidence.crashes.size, 0);
+  t.is((await call(other, {headers})).status, 200);
+});
