Keep what upstreams say of themselves in one place

Reading, keeping, telling and merging move to entry/statements, with the kind as a key; upstream-limits keeps the node's share. No change in behaviour: the tests of limits, load, selection and lost connections pass, and the two mutations of spreading and ending are noticed.

--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -5,6 +5,7 @@
   decodeUpstream,
 } from '@parsleyarch/platform/decode';
 import {STORE_KEY} from '@parsleyarch/platform/names';
+import {createShareBucket} from '@parsleyarch/policy/shared-limit';
 import {hashName} from '@parsleyarch/policy/rendezvous';
 import {indexRoutes} from '@parsleyarch/policy/routes';
 import type {
@@ -166,6 +167,7 @@
     backoffMs: 0,
     sends: [],
     lastAnswerAt: 0,
+    limitBucket: createShareBucket(node.clock()),
     connectedAt: -Infinity,
     failedAt: -Infinity,
     promptSegmentSentAt: new Map(),
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -26,7 +26,7 @@
 import type {EntryNode, UpstreamState} from './node.js';
 import {listLeaving, recordLeaving} from './notices.js';
 import {reportCutOff} from './reachability.js';
-import {listLimits, recordRelayedLimits} from './upstream-limits.js';
+import {listStatements, recordRelayedStatements} from './statements.js';
 
 const SHARE_TIMEOUT_MS = 300;
 /** Age above which reported load is ignored, milliseconds. */
@@ -97,10 +97,18 @@
 /** Answers a report: keeps it, and returns the load that its sender lacks. */
 export function collectLoad(
   node: EntryNode,
-  {node: name, loads, isGroup, leaving, limits, cutOff, ...crashes}: LoadReport,
+  {
+    node: name,
+    loads,
+    isGroup,
+    leaving,
+    statements,
+    cutOff,
+    ...crashes
+  }: LoadReport,
 ): LoadSummary {
   recordLeaving(node, leaving);
-  recordRelayedLimits(node, limits);
+  recordRelayedStatements(node, statements);
   mergeCrashes(node, crashes);
   const {reports, groups} = node.load;
   const report = {at: node.clock(), loads, cutOff};
@@ -111,7 +119,7 @@
   return {
     loads: sums,
     leaving: listLeaving(node),
-    limits: listLimits(node),
+    statements: listStatements(node),
     cutOff: isGroup ? listGroupCutOff(node) : listCutOff(node),
     ...reportCrashes(node, crashes.crashDigest),
     ...reportConfirmation(node),
@@ -193,7 +201,7 @@
   const report = {
     ...load,
     leaving: listLeaving(node),
-    limits: listLimits(node),
+    statements: listStatements(node),
     ...reportCrashes(node, node.crashes.digests.get(collector)),
   };
   const sentAt = node.continuousClock();
@@ -207,7 +215,7 @@
   if (summary.isOk()) {
     applyConfirmation(node, summary.value, sentAt);
     recordLeaving(node, summary.value.leaving);
-    recordRelayedLimits(node, summary.value.limits);
+    recordRelayedStatements(node, summary.value.statements);
     mergeCrashes(node, summary.value);
     node.crashes.digests.set(collector, summary.value.crashDigest);
     return summary.value;
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -19,6 +19,7 @@
 } from '@parsleyarch/protocol/continuous-clock';
 import type {RouteIndex} from '@parsleyarch/policy/routes';
 import type {RetryWindow} from '@parsleyarch/policy/retry-window';
+import type {ShareBucket} from '@parsleyarch/policy/shared-limit';
 import {hashName, type RendezvousMember} from '@parsleyarch/policy/rendezvous';
 import type {ListedNode} from '@parsleyarch/policy/watchers';
 import type {
@@ -41,7 +42,7 @@
 import type {UpstreamNotice} from './notices.js';
 import {createHolderState, type HolderState} from './holder.js';
 import type {EntrySettings} from './settings.js';
-import type {NamedLimit} from './upstream-limits.js';
+import {createStatements, type Statements} from './statements.js';
 import {createVersions, type Versions} from './versions.js';
 
 /** The node's view of one upstream. */
@@ -70,6 +71,8 @@
   /** Times of recent sends, oldest first; kept for the cold limit. */
   sends: number[];
   lastAnswerAt: number;
+  /** Sends that this node may make under a limit that the upstream names. */
+  readonly limitBucket: ShareBucket;
   /** When this node last connected to it, monotonic milliseconds. */
   connectedAt: number;
   /** When the last connection to it that failed began, monotonic milliseconds. */
@@ -123,8 +126,8 @@
   readonly upstreams: Map<string, UpstreamState>;
   /** What upstreams said of themselves, by upstream. */
   readonly notices: Map<string, UpstreamNotice>;
-  /** Limits that upstreams have named, by upstream. */
-  readonly limits: Map<string, NamedLimit>;
+  /** What upstreams say of themselves for as long as it holds. */
+  readonly statements: Statements;
   /** Failure domains that operators have taken out of service. */
   readonly evacuated: Set<string>;
   readonly orders: Map<string, KnownOrder>;
@@ -202,7 +205,7 @@
     random: Math.random,
     upstreams: new Map(),
     notices: new Map(),
-    limits: new Map(),
+    statements: createStatements(),
     evacuated: new Set(),
     orders: new Map(),
     versions: createVersions(),
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -8,7 +8,7 @@
 import {recordFailedConnection} from './reachability.js';
 import {recordArrival} from './retries.js';
 import type {Selection} from './selection.js';
-import {recordLimit} from './upstream-limits.js';
+import {recordStatements} from './statements.js';
 import {
   recordFailure,
   recordReachability,
@@ -115,7 +115,7 @@
   if (outcome.kind === 'answer' || outcome.kind === 'refused') {
     upstream.lastAnswerAt = node.clock();
     recordNotice(node, attempt.registered, outcome.answer);
-    recordLimit(node, attempt, outcome.answer);
+    recordStatements(node, attempt, outcome.answer);
     const {load} = outcome.answer;
     if (outcome.kind === 'answer' && model)
       recordModelTime(node, exchange, model, attempt.upstreamWork, tookMs);
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -29,7 +29,7 @@
 
 const NOTHING_ELSE = {
   leaving: [],
-  limits: [],
+  statements: [],
   cutOff: [],
   crashDigest: 0,
   crashes: [],
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -13,6 +13,7 @@
 import {recordFailure} from '@parsleyarch/router/entry/upstream-records';
 import {hashName} from '@parsleyarch/policy/rendezvous';
 import {startKeyspace} from '@parsleyarch/standins/keyspace';
+import {createShareBucket} from '@parsleyarch/policy/shared-limit';
 import test, {type ExecutionContext} from 'ava';
 import {settingsFor} from './site.js';
 
@@ -59,6 +60,7 @@
     backoffMs: 0,
     sends: [],
     lastAnswerAt: 0,
+    limitBucket: createShareBucket(0),
     connectedAt: -Infinity,
     failedAt: -Infinity,
     promptSegmentSentAt: new Map(),
--- a/apps/router/test/entry/upstream-limits.test.ts
+++ b/apps/router/test/entry/upstream-limits.test.ts
@@ -96,7 +96,7 @@
   limited.script = answerWithLimit(() => 0);
   await until(() => {
     void call(first);
-    return second.node.limits.has(limited.id);
+    return second.node.statements.limit.has(limited.id);
   });
   await wait(200);
   const before = limited.requests.length;
@@ -113,8 +113,8 @@
   const knowLimit = (perSecond?: number) => () => {
     for (const entry of site.entries) void call(entry);
     return site.entries.every(({node}) => {
-      const known = node.limits.get(limited.id);
-      return known !== undefined && known.perSecond === perSecond;
+      const known = node.statements.limit.get(limited.id);
+      return known !== undefined && known.value === perSecond;
     });
   };
   await until(knowLimit(4));
@@ -166,7 +166,7 @@
     t.is((await call(entry)).status, 200);
     t.is((await call(entry)).status, 200);
   }
-  t.is(entry.node.limits.size, 0);
+  t.is(entry.node.statements.limit.size, 0);
 });
 
 test('an answer is not discarded for a larger model if no upstream may get another send', async t => {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -161,14 +161,14 @@
   readonly upstream: string;
   readonly incarnation: number;
 }
-/** What an upstream last said of the rate that it accepts from all nodes. */
-export interface UpstreamLimit {
+/** What an upstream last said of itself on one matter. */
+export interface UpstreamStatement {
+  readonly kind: string;
   readonly upstream: string;
   readonly incarnation: number;
-  /** Whether it no longer names a limit. */
+  /** Whether it no longer makes the statement. */
   readonly ended: boolean;
-  /** Requests per second. */
-  readonly perSecond: number;
+  readonly value: number;
   /** Time since a node heard it, milliseconds. */
   readonly ageMs: number;
 }
@@ -208,7 +208,7 @@
   readonly isGroup: boolean;
   /** Upstreams that are leaving, as far as the sender knows. */
   readonly leaving: readonly LeavingUpstream[];
-  readonly limits: readonly UpstreamLimit[];
+  readonly statements: readonly UpstreamStatement[];
   /** The sender, or nodes of its group, if they are cut off from upstreams. */
   readonly cutOff: readonly CutOffNode[];
 }
@@ -228,7 +228,7 @@
 export interface LoadSummary extends Confirmation, CrashReport {
   /** Upstreams that are leaving, as far as the collector knows. */
   readonly leaving: readonly LeavingUpstream[];
-  readonly limits: readonly UpstreamLimit[];
+  readonly statements: readonly UpstreamStatement[];
   /** Nodes that are cut off from upstreams, as far as the collector knows. */
   readonly cutOff: readonly CutOffNode[];
   readonly loads: readonly UpstreamLoad[];
