Replace a connection between nodes that falls silent

A connection to a peer that falls silent without a reset was kept for good: each call on it timed out, and the node went on without its collector or source of changes until TCP gave up after minutes. Cause: @grpc/grpc-js sends no keep-alive pings unless told to, and neither it nor Node.js sets TCP_USER_TIMEOUT or TCP keep-alive on these connections (read in the library's sources; other outgoing connections serve one request each, or have a time limit for each call).

HTTP/2 pings every second; a connection without a response for 1.3 s is replaced.

--- a/packages/peer/src/client.ts
+++ b/packages/peer/src/client.ts
@@ -29,6 +29,12 @@
 
 /** Upper bound of the reconnection backoff, milliseconds. */
 const MAX_RECONNECT_MS = 1_000;
+/**
+ * Interval of keep-alive pings, and time without a response after which a connection
+ * is replaced; longer than a peer may pause for.
+ */
+const KEEPALIVE_INTERVAL_MS = 1_000;
+const KEEPALIVE_TIMEOUT_MS = 1_300;
 
 /** Creates a client; connections open with the first call to an address. */
 export function createPeerClient(key: string): PeerClient {
@@ -43,6 +49,8 @@
   const opened = new PeerConnection(address, credentials.createInsecure(), {
     'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
     'grpc.initial_reconnect_backoff_ms': 100,
+    'grpc.keepalive_time_ms': KEEPALIVE_INTERVAL_MS,
+    'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
   });
   peers.clients.set(address, opened);
   return opened;
