Let few holders of a large limit save up more than one send each

Where there are fewer nodes than the limit has requests a second, each node saved up one send only, and sent the rest of two requests that came together elsewhere, although the bound leaves room for bursts. Holders now divide the sends that may be saved up, the limit of a second and two more; with at least as many nodes as that, one each as before.

--- a/packages/policy/src/shared-limit.ts
+++ b/packages/policy/src/shared-limit.ts
@@ -12,16 +12,20 @@
  */
 const MIN_LIMIT_PER_SECOND = 0.2;
 
-/** Holders in addition to one for each request per second. */
-const ADDITIONAL_HOLDER_COUNT = 2;
-
-/** Sends that a holder may save up for a burst. */
-const MAX_SAVED_SENDS = 1;
-
 /**
- * Sends that one node may make now. The number of holders bounds the burst of
- * all of them together.
+ * Sends that all holders together may save up for bursts, in addition to those of a
+ * second.
  */
+const ADDITIONAL_SAVED_SENDS = 2;
+
+/** What one node may send. */
+export interface LimitShare {
+  readonly perSecond: number;
+  /** Sends that it may save up for a burst; one at least. */
+  readonly burst: number;
+}
+
+/** Sends that one node may make now. */
 export interface ShareBucket {
   savedSends: number;
   /** Rate of the share when it was last counted, sends per second. */
@@ -35,29 +39,34 @@
   return {savedSends: 0, perSecond: 0, countedAt: now};
 }
 
-/** Number of nodes that share a limit. */
+/** Sends that the holders of a limit may save up together. */
+function countSavedByAll(limitPerSecond: number): number {
+  return Math.floor(limitPerSecond) + ADDITIONAL_SAVED_SENDS;
+}
+
+/** Number of nodes that share a limit; each saves up one send at least. */
 export function countHolders(
   limitPerSecond: number,
   memberCount: number,
 ): number {
-  const holders = Math.floor(limitPerSecond) + ADDITIONAL_HOLDER_COUNT;
-  return Math.max(1, Math.min(memberCount, holders));
+  return Math.max(1, Math.min(memberCount, countSavedByAll(limitPerSecond)));
 }
 
-/** Sends per second of the node with a rank among all members; 0 is the first. */
+/** The share of the node with a rank among all members; 0 is the first. */
 export function shareOfLimit(
   limitPerSecond: number,
   rank: number,
   memberCount: number,
-): number {
+): LimitShare {
   const usedLimit = Math.max(MIN_LIMIT_PER_SECOND, limitPerSecond);
   const holders = countHolders(usedLimit, memberCount);
-  return rank < holders ? usedLimit / holders : 0;
+  const burst = Math.floor(countSavedByAll(usedLimit) / holders);
+  return {perSecond: rank < holders ? usedLimit / holders : 0, burst};
 }
 
 function countSaved(
   bucket: ShareBucket,
-  perSecond: number,
+  {perSecond, burst}: LimitShare,
   now: number,
 ): number {
   // A node that becomes a holder starts without savings, as its predecessor may
@@ -65,16 +74,17 @@
   if (perSecond === 0 || bucket.perSecond === 0) return 0;
   const seconds = (now - bucket.countedAt) / 1_000;
   const added = bucket.perSecond * seconds;
-  return Math.min(MAX_SAVED_SENDS, bucket.savedSends + added);
+  return Math.min(burst, bucket.savedSends + added);
 }
 
 /** Time until the next send is allowed, milliseconds; 0 if one is allowed now. */
 export function timeUntilSend(
   bucket: ShareBucket,
-  perSecond: number,
+  share: LimitShare,
   now: number,
 ): number {
-  bucket.savedSends = countSaved(bucket, perSecond, now);
+  const {perSecond} = share;
+  bucket.savedSends = countSaved(bucket, share, now);
   bucket.perSecond = perSecond;
   bucket.countedAt = now;
   if (bucket.savedSends >= 1) return 0;
--- a/packages/policy/test/shared-limit.test.ts
+++ b/packages/policy/test/shared-limit.test.ts
@@ -171,16 +171,31 @@
 
 test('an upstream whose limit is zero is asked now and then whether it still has one', t => {
   const sharesOf = (limit: number) =>
-    [0, 1, 2, 3].map(rank => shareOfLimit(limit, rank, 9));
+    [0, 1, 2, 3].map(rank => shareOfLimit(limit, rank, 9).perSecond);
   const sum = sharesOf(0).reduce((total, share) => total + share, 0);
   t.true(sum > 0 && 4 * sum + countHolders(0, 9) <= allowedBy(0));
 });
 
+const HALF = {perSecond: 0.5, burst: 1};
+
 test('a node that becomes a holder has saved nothing', t => {
   const bucket = createShareBucket(0);
-  t.is(timeUntilSend(bucket, 0.5, 60_000), 2_000);
-  t.is(timeUntilSend(bucket, 0.5, 62_000), 0);
+  t.is(timeUntilSend(bucket, HALF, 60_000), 2_000);
+  t.is(timeUntilSend(bucket, HALF, 62_000), 0);
   consumeSend(bucket);
-  t.is(timeUntilSend(bucket, 0, 70_000), Infinity);
-  t.is(timeUntilSend(bucket, 0.5, 70_000), 2_000);
+  t.is(timeUntilSend(bucket, {perSecond: 0, burst: 1}, 70_000), Infinity);
+  t.is(timeUntilSend(bucket, HALF, 70_000), 2_000);
+});
+
+test('few nodes with a large limit save up more than one send each', t => {
+  const share = shareOfLimit(40, 0, 9);
+  t.true(share.burst > 1);
+  const bucket = createShareBucket(0);
+  timeUntilSend(bucket, share, 0);
+  let sent = 0;
+  while (timeUntilSend(bucket, share, 60_000) === 0) {
+    consumeSend(bucket);
+    sent += 1;
+  }
+  t.is(sent, share.burst);
 });
