Take a node for cut off only after probes of its upstreams

A failed connection now starts probes of three upstreams, those first that have not failed for longest, and only if these fail as well is the node cut off. It then probes the other services too, so that their requests need not find out.

--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -41,6 +41,7 @@
 import {createDecisionLog} from './notes.js';
 import type {UpstreamNotice} from './notices.js';
 import {createHolderState, type HolderState} from './holder.js';
+import {createReachability, type Reachability} from './reachability.js';
 import type {EntrySettings} from './settings.js';
 import {createStatements, type Statements} from './statements.js';
 import {createVersions, type Versions} from './versions.js';
@@ -136,6 +137,7 @@
   readonly load: SharedLoad;
   readonly crashes: Crashes;
   readonly delegates: Delegates;
+  readonly reachability: Reachability;
   readonly holderState: HolderState;
   readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
@@ -213,6 +215,7 @@
     load: createSharedLoad(),
     crashes: createCrashes(),
     delegates: {skipped: new Map()},
+    reachability: createReachability(),
     holderState: createHolderState(),
     peers: {},
     retries: new Map(),
--- a/apps/router/src/entry/reachability.ts
+++ b/apps/router/src/entry/reachability.ts
@@ -16,25 +16,35 @@
 /** Upstreams of a service that are probed at the same time. */
 const PROBE_COUNT = 3;
 
-/** Whether connections to the upstreams of a service fail, or to all upstreams. */
+/** What this node knows of its own connections, by service. */
+export interface Reachability {
+  /** Services whose upstreams this node cannot connect to. */
+  readonly cutOff: Set<string>;
+  /** Services whose upstreams are being probed. */
+  readonly probing: Set<string>;
+}
+
+export function createReachability(): Reachability {
+  return {cutOff: new Set(), probing: new Set()};
+}
+
+/** Whether this node cannot connect to the upstreams of a service. */
 export function isCutOff(node: EntryNode, service: string): boolean {
-  const all = [...node.upstreams.values()];
-  const own = all.filter(({registered}) => registered.service === service);
-  return areUnreachable(own) || (own.length > 0 && areUnreachable(all));
+  return node.reachability.cutOff.has(service);
 }
 
-/** Services whose upstreams this node cannot connect to. */
-function listCutOffServices(node: EntryNode): string[] {
-  const services = new Set<string>();
-  for (const {registered} of node.upstreams.values())
-    services.add(registered.service);
-  return [...services].filter(service => isCutOff(node, service));
+function listUpstreams(node: EntryNode, service: string): UpstreamState[] {
+  return [...node.upstreams.values()].filter(
+    ({registered}) => registered.service === service && !registered.draining,
+  );
 }
 
 /** This node if it is cut off from a service, for other nodes. */
-export function reportCutOff(node: EntryNode): CutOffNode[] {
-  const services = listCutOffServices(node);
-  return services.length > 0 ? [{node: node.settings.node, services}] : [];
+export function reportCutOff({
+  settings,
+  reachability: {cutOff},
+}: EntryNode): CutOffNode[] {
+  return cutOff.size > 0 ? [{node: settings.node, services: [...cutOff]}] : [];
 }
 
 /** Failures of connections that this node has lost say nothing of upstreams. */
@@ -47,27 +57,24 @@
 /** Records an established connection to an upstream. */
 export function recordConnection(node: EntryNode, state: UpstreamState): void {
   const {service} = state.registered;
-  const wasCutOff = isCutOff(node, service);
   state.connectedAt = node.clock();
-  if (!wasCutOff || isCutOff(node, service)) return;
-  for (const other of node.upstreams.values()) {
-    if (other.registered.service === service) forgetFailures(other);
-  }
+  if (!node.reachability.cutOff.delete(service)) return;
+  for (const other of listUpstreams(node, service)) forgetFailures(other);
   node.log.info({service}, 'upstreams of the service reached again');
 }
 
-/** Records a connection to an upstream that could not be established. */
+/**
+ * Records a connection to an upstream that could not be established. Others are
+ * probed at once: a single upstream may have ended.
+ */
 export function recordFailedConnection(
   node: EntryNode,
   state: UpstreamState,
   startedAt: number,
 ): void {
-  const {service} = state.registered;
-  const wasCutOff = isCutOff(node, service);
   state.failedAt = Math.max(state.failedAt, startedAt);
-  if (wasCutOff || !isCutOff(node, service)) return;
-  node.log.warn({service}, 'no upstream of the service can be reached');
-  void probeService(node, service);
+  const {service} = state.registered;
+  if (!isCutOff(node, service)) void findCut(node, service);
 }
 
 /** Opens a connection to an upstream without sending anything. */
@@ -99,7 +106,7 @@
   const startedAt = node.clock();
   const connected = await canConnect(node.agent, state.registered.address);
   if (connected) recordConnection(node, state);
-  else recordFailedConnection(node, state, startedAt);
+  else state.failedAt = Math.max(state.failedAt, startedAt);
   return connected;
 }
 
@@ -128,20 +135,38 @@
 
 /** Probes those upstreams of a service that have not failed for longest. */
 async function probeService(node: EntryNode, service: string): Promise<void> {
-  const states = [...node.upstreams.values()].filter(
-    ({registered}) => registered.service === service && !registered.draining,
-  );
+  const states = listUpstreams(node, service);
   states.sort((a, b) => a.failedAt - b.failedAt);
   const probed = states.slice(0, PROBE_COUNT);
   await Promise.all(probed.map(state => probe(node, state)));
 }
 
+/** Finds out by probes whether this node is cut off from a service. */
+async function findCut(node: EntryNode, service: string): Promise<void> {
+  const {cutOff, probing} = node.reachability;
+  if (probing.has(service)) return;
+  probing.add(service);
+  await probeService(node, service);
+  probing.delete(service);
+  if (cutOff.has(service)) return;
+  if (!areUnreachable(listUpstreams(node, service))) return;
+  cutOff.add(service);
+  node.log.warn({service}, 'no upstream of the service can be reached');
+  // A node that has lost one service may have lost all of them.
+  const services = [...node.upstreams.values()].map(
+    ({registered}) => registered.service,
+  );
+  for (const other of new Set(services)) {
+    if (!cutOff.has(other)) void findCut(node, other);
+  }
+}
+
 /** Probes the upstreams of services that this node is cut off from. */
 export function probeWhileCutOff(node: EntryNode): void {
   const running = repeat(
     PROBE_INTERVAL_MS,
     async () => {
-      const services = listCutOffServices(node);
+      const services = [...node.reachability.cutOff];
       await Promise.all(services.map(service => probeService(node, service)));
     },
     error => node.log.error({error: String(error)}, 'probing failed'),
--- a/apps/router/test/entry/cut-off.test.ts
+++ b/apps/router/test/entry/cut-off.test.ts
@@ -282,3 +282,13 @@
   t.is(other.node.crashes.evidence.crashes.size, 0);
   t.is((await call(other, {headers})).status, 200);
 });
+
+test('a node that some upstreams refuse while others serve delegates nothing', async t => {
+  const site = await start(t, 2);
+  const [entry] = site.entries;
+  await measureServed(entry, 500);
+  const ports = site.runners.slice(0, 3).map(({server}) => server.port);
+  cutOff(entry, 'refused', {ports});
+  t.is(await measureServed(entry, 4_000), 1);
+  t.is(await countDelegations(entry), 0);
+});
--- a/packages/policy/src/reachability.ts
+++ b/packages/policy/src/reachability.ts
@@ -15,9 +15,9 @@
 
 /**
  * Upstreams whose connections must have failed although they began after the latest
- * connection to any of them; one upstream that fails may have ended.
+ * connection to any of them; fewer may have ended.
  */
-const MIN_FAILED_COUNT = 2;
+const MIN_FAILED_COUNT = 3;
 
 /** Whether connections to a group of upstreams fail. */
 export function areUnreachable(upstreams: readonly ConnectionTimes[]): boolean {
