--- a/apps/router/src/entry/reachability.ts
+++ b/apps/router/src/entry/reachability.ts
@@ -146,8 +146,11 @@
   const {cutOff, probing} = node.reachability;
   if (probing.has(service)) return;
   probing.add(service);
-  await probeService(node, service);
-  probing.delete(service);
+  try {
+    await probeService(node, service);
+  } finally {
+    probing.delete(service);
+  }
   if (cutOff.has(service)) return;
   if (!areUnreachable(listUpstreams(node, service))) return;
   cutOff.add(service);
