Format the tests of limits

The script stopped in lint on a clean clone (rc 1): the check that names unexpected statuses had been put in by hand after the last run of the formatter.

--- a/apps/router/test/entry/upstream-limits.test.ts
+++ b/apps/router/test/entry/upstream-limits.test.ts
@@ -79,7 +79,10 @@
     limited.script = answerWithLimit(() => limit);
     const startedAt = performance.now();
     const statuses = await sendFor(site, CONTACT_MS + WINDOW_MS + 1_000, 100);
-    t.deepEqual(statuses.filter(status => status !== 200), []);
+    t.deepEqual(
+      statuses.filter(status => status !== 200),
+      [],
+    );
     const arrivals = limited.requests.map(({at}) => at);
     const allowed = Math.floor(1.5 * limit * (WINDOW_MS / 1_000) + 5);
     const most = countMost(arrivals, startedAt + CONTACT_MS);
