Take only a delegate's own 503 for a request that has not run

An upstream's answer of 404 without a seal, relayed by a delegate, was read as a refusal of the delegate. A request that may not be repeated was then sent to the next node and ran again there, and its caller got 503, "not run". Found on reading the change again.

Any 4xx counted as a refusal; only 503 does now, which a node never relays from an upstream for such a request. Other answers without a seal may have run: 502.

--- a/apps/router/src/entry/delegation.ts
+++ b/apps/router/src/entry/delegation.ts
@@ -96,17 +96,18 @@
   return headers;
 }
 
-/** Whether a status of the delegate itself says that no upstream ran the request. */
-function isRefusal(status: number): boolean {
-  return status === 503 || (status >= 400 && status < 500);
-}
+/**
+ * Status of the delegate's own refusals. Others without a seal may be of an upstream
+ * that ran the request.
+ */
+const REFUSED_STATUS = 503;
 
 function classifyAnswer(message: http.IncomingMessage): DelegateOutcome {
   const status = message.statusCode ?? 0;
   const answer = readAnswerHeaders(status, message.rawHeaders);
   if (answer.sealed) return {kind: 'answer', answer, message};
   message.destroy();
-  const kind = isRefusal(status) ? 'not run' : 'lost';
+  const kind = status === REFUSED_STATUS ? 'not run' : 'lost';
   return {kind, reason: `delegate answered ${status}`};
 }
 
--- a/apps/router/src/entry/exclusions.ts
+++ b/apps/router/src/entry/exclusions.ts
@@ -10,7 +10,6 @@
 const PAUSED = 'paused';
 /** This node may not send now under the limit that the upstream names. */
 const LIMITED = 'limited';
-
 /** A brittle upstream would refuse more requests. */
 const FULL = 'full';
 
