Log what counts as the end of an upstream, and what clears a suspect

The logs could not tell why a request went on ending upstreams: no line said that an end was not counted, that a suspect was cleared, by which answer, or how many ends count for a request that is sent or refused. Each is a decision line now.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -45,7 +45,7 @@
   /** When this node last received a complete answer, by key. */
   readonly answeredAt: Map<string, number>;
   /** Probes in progress, by incarnation of the upstream. */
-  readonly probes: Map<string, Promise<boolean>>;
+  readonly probes: Map<string, Promise<Finding>>;
   /** Digest of the evidence of other nodes at the last exchange, by node. */
   readonly digests: Map<string, number>;
   /** When this node last tried a culprit again, by key. */
@@ -96,22 +96,35 @@
   return !registered.draining && !isLeaving(node, registered);
 }
 
+/** What a probe of an upstream that closed a connection has found. */
+const Finding = {
+  ended: 'ended',
+  /** It was about to stop, or another one has taken its place. */
+  notExpected: 'not expected to run',
+  notRefused: 'refuses no connections',
+  /** A node that has lost its own links gets refusals from all upstreams. */
+  unknown: 'no other upstream reached',
+} as const;
+type Finding = (typeof Finding)[keyof typeof Finding];
+
 async function probe(
   node: EntryNode,
   upstream: RegisteredUpstream,
-): Promise<boolean> {
-  if (!isExpectedToRun(node, upstream)) return false;
+): Promise<Finding> {
+  if (!isExpectedToRun(node, upstream)) return Finding.notExpected;
   await wait(LISTENER_CLOSE_MS);
-  if (!(await refusesConnections(node, upstream.address))) return false;
-  // A node that has lost its own links gets refusals from all upstreams.
-  return reachesOthers(node, upstream);
+  if (!(await refusesConnections(node, upstream.address)))
+    return Finding.notRefused;
+  return (await reachesOthers(node, upstream))
+    ? Finding.ended
+    : Finding.unknown;
 }
 
 /** Probes an upstream; requests that break off at the same time share a probe. */
-function hasEnded(
+function probeOnce(
   node: EntryNode,
   upstream: RegisteredUpstream,
-): Promise<boolean> {
+): Promise<Finding> {
   const key = incarnationKey(upstream);
   const running = node.crashes.probes.get(key);
   if (running) return running;
@@ -133,8 +146,16 @@
   {registered: upstream, startedAt}: Send,
 ): Promise<void> {
   const at = node.clock();
-  if (!(await hasEnded(node, upstream))) return;
+  const finding = await probeOnce(node, upstream);
   const {caller, service, route, customer, body} = exchange;
+  if (finding !== Finding.ended)
+    return node.logDecision('upstream not ended', {
+      requestId: caller.attemptId,
+      upstream: upstream.id,
+      incarnation: upstream.incarnation,
+      service,
+      finding,
+    });
   exchange.crashes += 1;
   const runMs = at - startedAt;
   const suspects = listKeys(exchange).map(
@@ -156,6 +177,9 @@
     route: route.name,
     customer: customer?.name,
     bodyBytes: body.length,
+    fingerprint: listKeys(exchange)[0],
+    runMs: Math.round(runMs),
+    ends: assessExchange(node, exchange).endCount,
     promptSegments: caller.promptSegments.map(({id}) => id),
   });
 }
@@ -202,16 +226,30 @@
     if (answeredAt.size <= MAX_ANSWERED_COUNT) break;
     answeredAt.delete(key);
   }
-  if (evidence.crashes.size > 0) clearSuspects(evidence, listKeys(exchange));
+  if (evidence.crashes.size === 0) return;
+  const cleared = clearSuspects(evidence, listKeys(exchange));
+  if (cleared.length > 0)
+    node.logDecision('suspect cleared', {
+      requestId: exchange.caller.attemptId,
+      keys: cleared,
+      answeredAgoMs: 0,
+    });
 }
 
 /** Adds a crash, and clears the suspects that this node knows to be sound. */
-function addCrash({crashes}: EntryNode, crash: Crash): void {
-  const {evidence, answeredAt} = crashes;
+function addCrash(node: EntryNode, crash: Crash): void {
+  const {evidence, answeredAt} = node.crashes;
   mergeCrash(evidence, crash);
   for (const key of crash.suspects.keys()) {
     const at = answeredAt.get(key);
-    if (at !== undefined) clearSuspects(evidence, [key], at + SOUND_MS);
+    if (at === undefined) continue;
+    const cleared = clearSuspects(evidence, [key], at + SOUND_MS);
+    if (cleared.length === 0) continue;
+    node.logDecision('suspect cleared', {
+      keys: cleared,
+      upstream: crash.upstream,
+      answeredAgoMs: Math.round(node.clock() - at),
+    });
   }
 }
 
@@ -248,7 +286,16 @@
     return 'upstreams ended under it';
   const assessment = assessExchange(node, exchange);
   if (assessment.suspicion !== Suspicion.culprit) return undefined;
-  if (mayTry(node, assessment)) return undefined;
+  const isTrial = mayTry(node, assessment);
+  const {key, endCount, refusedUntil} = assessment;
+  node.logDecision('culprit', {
+    requestId: exchange.caller.attemptId,
+    choice: isTrial ? 'try' : 'refuse',
+    key,
+    ends: endCount,
+    refusedForMs: Math.round(refusedUntil - node.clock()),
+  });
+  if (isTrial) return undefined;
   return 'requests like it end upstreams';
 }
 
--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -166,12 +166,9 @@
     started += 1;
     return 100 + ((started * 37) % 300);
   };
-  const upstreams = await startCrashingUpstreams(
-    site,
-    6,
-    hasBadSegment,
+  const upstreams = await startCrashingUpstreams(site, 6, hasBadSegment, {
     prefillMs,
-  );
+  });
   await until(() => site.entries[0].node.upstreams.size === 6);
   let fifthAt = Infinity;
   const sound: {at: number; answer: Promise<{status: number}>}[] = [];
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -128,21 +128,24 @@
 
 /**
  * Clears suspects of the crashes up to a time, as an upstream has answered them
- * then or a short time before.
+ * then or a short time before. Returns the keys that were cleared.
  */
 export function clearSuspects(
   evidence: CrashEvidence,
   keys: Iterable<string>,
   until = Infinity,
-): void {
+): string[] {
+  const cleared = new Set<string>();
   for (const key of keys) {
     for (const crash of evidence.crashes.values()) {
       if (crash.at > until) continue;
       const known = crash.suspects.get(key);
-      if (known && !known.cleared)
-        mergeSuspect(evidence, crash, key, {...known, cleared: true});
+      if (!known || known.cleared) continue;
+      mergeSuspect(evidence, crash, key, {...known, cleared: true});
+      cleared.add(key);
     }
   }
+  return [...cleared];
 }
 
 /** Crashes in which a suspect was not cleared, the earliest one first. */
@@ -183,18 +186,22 @@
   readonly key: string;
   /** When a culprit may be tried again, monotonic milliseconds. */
   readonly refusedUntil: number;
+  /** Ends that count for the key. */
+  readonly endCount: number;
 }
 
 const NO_SUSPICION: Assessment = {
   suspicion: Suspicion.none,
   key: '',
   refusedUntil: -Infinity,
+  endCount: 0,
 };
 
 function createCulprit(key: string, ends: readonly number[]): Assessment {
   const refusalMs = MIN_REFUSAL_MS * 2 ** (ends.length - CULPRIT_CRASH_COUNT);
   const refusedUntil = (ends.at(-1) ?? 0) + refusalMs;
-  return {suspicion: Suspicion.culprit, key, refusedUntil};
+  const endCount = ends.length;
+  return {suspicion: Suspicion.culprit, key, refusedUntil, endCount};
 }
 
 /** A suspect with the crashes in which it was not cleared. */
@@ -262,7 +269,12 @@
   for (const key of keys) {
     const ends = countedEnds(listCrashes(evidence, key), key);
     if (ends.length >= SUSPECT_CRASH_COUNT)
-      return {suspicion: Suspicion.suspect, key, refusedUntil: -Infinity};
+      return {
+        suspicion: Suspicion.suspect,
+        key,
+        refusedUntil: -Infinity,
+        endCount: ends.length,
+      };
   }
   return NO_SUSPICION;
 }
