Clear a suspect only by answers to sends that began after the end

Callers of a service found no upstream for four rounds of restarts: a request that had been answered and then ended its upstreams ended 12 of them, 8 sends too late, since an answer cleared all ends of the next 10 s, whenever its send had begun. What ends upstreams may change between two sends.

An answer now clears the ends before its send began, also those that a node learns of later.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -33,8 +33,6 @@
 const TRIAL_INTERVAL_MS = 5_000;
 /** Number of upstreams that may end under one request before it is given up. */
 const MAX_CRASHES_OF_REQUEST = 2;
-/** Time for which an answer shows that requests like it end no upstreams. */
-const SOUND_MS = 10_000;
 /** Number of keys whose answers are remembered. */
 const MAX_ANSWERED_COUNT = 2_000;
 const FINGERPRINT_CHAR_COUNT = 16;
@@ -42,8 +40,8 @@
 /** What a node knows of upstreams that ended. */
 export interface Crashes {
   readonly evidence: CrashEvidence;
-  /** When this node last received a complete answer, by key. */
-  readonly answeredAt: Map<string, number>;
+  /** When the latest send began that was answered completely, by key. */
+  readonly answeredSends: Map<string, number>;
   /** Probes in progress, by incarnation of the upstream. */
   readonly probes: Map<string, Promise<Finding>>;
   /** Digest of the evidence of other nodes at the last exchange, by node. */
@@ -55,7 +53,7 @@
 export function createCrashes(): Crashes {
   return {
     evidence: createCrashEvidence(),
-    answeredAt: new Map(),
+    answeredSends: new Map(),
     probes: new Map(),
     digests: new Map(),
     trials: new Map(),
@@ -213,43 +211,46 @@
 export function recordSurvival(
   node: EntryNode,
   exchange: Exchange,
-  {closeDelimited}: AnswerBody,
+  {closeDelimited, send: {startedAt}}: AnswerBody,
 ): void {
   if (closeDelimited) return;
-  const {evidence, answeredAt} = node.crashes;
-  for (const key of listKeys(exchange)) {
+  const {answeredSends} = node.crashes;
+  const keys = listKeys(exchange);
+  for (const key of keys) {
+    const latest = Math.max(startedAt, answeredSends.get(key) ?? -Infinity);
     // Re-insertion keeps the map in order of use, so the oldest are evicted first.
-    answeredAt.delete(key);
-    answeredAt.set(key, node.clock());
+    answeredSends.delete(key);
+    answeredSends.set(key, latest);
   }
-  for (const key of answeredAt.keys()) {
-    if (answeredAt.size <= MAX_ANSWERED_COUNT) break;
-    answeredAt.delete(key);
+  for (const key of answeredSends.keys()) {
+    if (answeredSends.size <= MAX_ANSWERED_COUNT) break;
+    answeredSends.delete(key);
   }
+  clear(node, keys, startedAt, exchange.caller.attemptId);
+}
+
+/** Clears suspects of the crashes before a send that was answered. */
+function clear(
+  node: EntryNode,
+  keys: readonly string[],
+  sentAt: number,
+  requestId?: string,
+): void {
+  const {evidence} = node.crashes;
   if (evidence.crashes.size === 0) return;
-  const cleared = clearSuspects(evidence, listKeys(exchange));
-  if (cleared.length > 0)
-    node.logDecision('suspect cleared', {
-      requestId: exchange.caller.attemptId,
-      keys: cleared,
-      answeredAgoMs: 0,
-    });
+  const cleared = clearSuspects(evidence, keys, sentAt);
+  if (cleared.length === 0) return;
+  const sentAgoMs = Math.round(node.clock() - sentAt);
+  node.logDecision('suspect cleared', {requestId, keys: cleared, sentAgoMs});
 }
 
 /** Adds a crash, and clears the suspects that this node knows to be sound. */
 function addCrash(node: EntryNode, crash: Crash): void {
-  const {evidence, answeredAt} = node.crashes;
+  const {evidence, answeredSends} = node.crashes;
   mergeCrash(evidence, crash);
   for (const key of crash.suspects.keys()) {
-    const at = answeredAt.get(key);
-    if (at === undefined) continue;
-    const cleared = clearSuspects(evidence, [key], at + SOUND_MS);
-    if (cleared.length === 0) continue;
-    node.logDecision('suspect cleared', {
-      keys: cleared,
-      upstream: crash.upstream,
-      answeredAgoMs: Math.round(node.clock() - at),
-    });
+    const sentAt = answeredSends.get(key);
+    if (sentAt !== undefined) clear(node, [key], sentAt);
   }
 }
 
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -2,8 +2,8 @@
  * Finds requests that end every upstream which runs them, or what such requests
  * have in common: a segment of their prompts. All requests that an upstream served
  * when it ended are suspects, with their segments, on whichever node they were. A
- * suspect that is answered is cleared; one that was in several ends and in no answer
- * since is a culprit, and is refused for some time. Of suspects that were in nearly
+ * suspect that is answered when sent again is cleared; one that was in several ends and
+ * in no such answer since is a culprit, and is refused for some time. Of suspects that were in nearly
  * the same ends the most specific one is the culprit. Evidence of several
  * nodes merges in any order to the same state: a crash is counted once for an
  * incarnation of an upstream. Meant for any load; its size grows with crashes, not
@@ -32,7 +32,7 @@
   readonly runMs: number;
   /** Higher for suspects that fewer requests share. */
   readonly specificity: number;
-  /** Whether an upstream has answered it since. */
+  /** Whether an upstream has answered a send of it that began later. */
   readonly cleared: boolean;
 }
 
@@ -127,18 +127,19 @@
 }
 
 /**
- * Clears suspects of the crashes up to a time, as an upstream has answered them
- * then or a short time before. Returns the keys that were cleared.
+ * Clears suspects of the crashes before a time, as a send that began then was
+ * answered. An answer to an earlier send proves nothing: the upstreams may have
+ * changed since. Returns the keys that were cleared.
  */
 export function clearSuspects(
   evidence: CrashEvidence,
   keys: Iterable<string>,
-  until = Infinity,
+  sentAt: number,
 ): string[] {
   const cleared = new Set<string>();
   for (const key of keys) {
     for (const crash of evidence.crashes.values()) {
-      if (crash.at > until) continue;
+      if (crash.at >= sentAt) continue;
       const known = crash.suspects.get(key);
       if (!known || known.cleared) continue;
       mergeSuspect(evidence, crash, key, {...known, cleared: true});
--- a/packages/policy/test/crash-evidence.test.ts
+++ b/packages/policy/test/crash-evidence.test.ts
@@ -43,7 +43,7 @@
 
 test('a request that was answered starts anew', t => {
   const evidence = evidenceOf([crash(100, ['a']), crash(200, ['a'])]);
-  clearSuspects(evidence, ['a']);
+  clearSuspects(evidence, ['a'], 250);
   t.is(suspicionOf(evidence, 'a'), Suspicion.none);
   mergeCrash(evidence, crash(300, ['a']));
   mergeCrash(evidence, crash(400, ['a']));
@@ -96,13 +96,13 @@
   t.not(suspicionOf(evidence, 'shared'), Suspicion.culprit);
 });
 
-test('an answer shortly before an end clears only the ends up to a time', t => {
+test('an answer clears only the ends before its send began', t => {
   const evidence = evidenceOf(
     [1, 2, 3, 4, 5, 6].map(index => crash(index * 100, ['a'])),
   );
-  clearSuspects(evidence, ['a'], 300);
+  clearSuspects(evidence, ['a'], 350);
   t.is(suspicionOf(evidence, 'a'), Suspicion.culprit);
-  clearSuspects(evidence, ['a'], 400);
+  clearSuspects(evidence, ['a'], 450);
   t.not(suspicionOf(evidence, 'a'), Suspicion.culprit);
 });
 
@@ -180,7 +180,7 @@
       const evidence = evidenceOf([one]);
       const {digest} = evidence;
       const changed = one.suspects.get(key)?.cleared === false;
-      clearSuspects(evidence, [key]);
+      clearSuspects(evidence, [key], Infinity);
       return changed ? evidence.digest !== digest : evidence.digest === digest;
     }),
   );
@@ -195,7 +195,7 @@
       for (const [index, keys] of beside.entries()) {
         mergeCrash(evidence, crash(index * 1_000, ['culprit', ...keys]));
         // Sound requests are answered at another upstream.
-        clearSuspects(evidence, keys);
+        clearSuspects(evidence, keys, index * 1_000 + 500);
       }
       return (
         suspicionOf(evidence, 'culprit') === Suspicion.culprit &&
