Recognize a request that ends upstreams by its key and its customer

A request that had ended three upstreams was sent again once operators renamed its customer: the fingerprint held the name, so the count began anew. A request now has a key for each identity of its caller, the bearer key and the customer's name; either outlives a change of the other. Ends that a request explains still count for it under its other identity, so that it stays a culprit when the identity that was convicted first is gone.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -7,6 +7,7 @@
   assessRequest,
   clearSuspects,
   createCrashEvidence,
+  createSuspects,
   dropOldCrashes,
   mergeCrash,
   Suspicion,
@@ -14,10 +15,10 @@
   type Crash,
   type CrashEvidence,
 } from '@parsleyarch/policy/crash-evidence';
+import {listRequestKeys, listSegmentKeys} from '@parsleyarch/policy/crash-keys';
 import {hashName, listFirstMembers} from '@parsleyarch/policy/rendezvous';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import {wait} from '@parsleyarch/lifecycle/process';
-import {createHash} from 'node:crypto';
 import type {AnswerBody, Send} from './attempt.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
@@ -35,7 +36,6 @@
 const MAX_CRASHES_OF_REQUEST = 2;
 /** Number of keys whose answers are remembered. */
 const MAX_ANSWERED_COUNT = 2_000;
-const FINGERPRINT_CHAR_COUNT = 16;
 
 /** What a node knows of upstreams that ended. */
 export interface Crashes {
@@ -156,14 +156,10 @@
     });
   exchange.crashes += 1;
   const runMs = at - startedAt;
-  const suspects = listKeys(exchange).map(
-    (key, index, {length}) =>
-      [key, {runMs, specificity: length - index, cleared: false}] as const,
-  );
   addCrash(node, {
     upstream: incarnationKey(upstream),
     at,
-    suspects: new Map(suspects),
+    suspects: createSuspects(listKeys(exchange), runMs),
   });
   node.metrics.crashes.inc({service});
   node.logDecision('upstream ended', {
@@ -175,33 +171,29 @@
     route: route.name,
     customer: customer?.name,
     bodyBytes: body.length,
-    fingerprint: listKeys(exchange)[0],
+    key: listKeys(exchange)[0],
     runMs: Math.round(runMs),
     ends: assessExchange(node, exchange).endCount,
     promptSegments: caller.promptSegments.map(({id}) => id),
   });
 }
 
-/**
- * What requests may have in common that ends upstreams, the most specific first.
- * Callers send such a request again with the same path, customer and body. The last
- * segment of a prompt belongs to the request itself.
- */
+/** Keys of a request in the evidence on crashes, the most specific first. */
 function listKeys(exchange: Exchange): readonly string[] {
-  exchange.crashKeys ??= [fingerprint(exchange), ...segmentKeys(exchange)];
+  exchange.crashKeys ??= createKeys(exchange);
   return exchange.crashKeys;
 }
 
-function segmentKeys({caller}: Exchange): string[] {
-  const shared = caller.promptSegments.slice(0, -1);
-  return shared.map(({id}) => `segment ${id}`).reverse();
-}
-
-function fingerprint({target, customer, body}: Exchange): string {
-  const hash = createHash('sha256').update(
-    JSON.stringify([target, customer?.name ?? '']),
-  );
-  return hash.update(body).digest('hex').slice(0, FINGERPRINT_CHAR_COUNT);
+function createKeys({target, body, caller, customer}: Exchange): string[] {
+  const traits = {
+    target,
+    body,
+    callerKey: caller.key,
+    customer: customer?.name,
+    // The last segment belongs to the request itself.
+    segments: caller.promptSegments.slice(0, -1).map(({id}) => id),
+  };
+  return [...listRequestKeys(traits), ...listSegmentKeys(traits)];
 }
 
 /**
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -9,6 +9,7 @@
  * incarnation of an upstream. Meant for any load; its size grows with crashes, not
  * with requests or nodes.
  */
+import {isSharedKey, subjectOf} from './crash-keys.js';
 import {hashName} from './rendezvous.js';
 
 /** Number of ends without an answer from which a suspect is refused. */
@@ -67,6 +68,21 @@
   return {crashes: new Map(), digest: 0};
 }
 
+/** Suspects of one request, by its keys in order of specificity. */
+export function createSuspects(
+  keys: readonly string[],
+  runMs: number,
+): Map<string, Suspect> {
+  const shared = keys.filter(isSharedKey);
+  return new Map(
+    keys.map(key => {
+      const index = isSharedKey(key) ? shared.indexOf(key) : -1;
+      const specificity = shared.length - index;
+      return [key, {runMs, specificity, cleared: false}];
+    }),
+  );
+}
+
 function hashSuspect(
   {upstream}: Crash,
   key: string,
@@ -236,22 +252,28 @@
   return scoreOf(b) - scoreOf(a) || b.specificity - a.specificity;
 }
 
-/** Culprits by key. A crash that one of them explains counts for no other one. */
+/**
+ * Culprits by key. A crash that one of them explains counts for no other one, but for
+ * the same request under another identity of its caller.
+ */
 function findCulprits(
   evidence: CrashEvidence,
 ): ReadonlyMap<string, Assessment> {
   const {digest, culprits} = evidence;
   if (culprits?.digest === digest) return culprits.assessments;
   const assessments = new Map<string, Assessment>();
-  const explained = new Set<KnownCrash>();
+  const explanations = new Map<KnownCrash, string>();
   const candidates = listCandidates(evidence)
     .filter(({ends}) => ends.length >= CULPRIT_CRASH_COUNT)
     .sort(byExplanation);
   for (const {key, crashes, ends} of candidates) {
-    const unexplained = crashes.filter(crash => !explained.has(crash));
+    const subject = subjectOf(key);
+    const unexplained = crashes.filter(
+      crash => (explanations.get(crash) ?? subject) === subject,
+    );
     if (countedEnds(unexplained, key).length < CULPRIT_CRASH_COUNT) continue;
     assessments.set(key, createCulprit(key, ends));
-    for (const crash of crashes) explained.add(crash);
+    for (const crash of crashes) explanations.set(crash, subject);
   }
   evidence.culprits = {digest, assessments};
   return assessments;
