Ask other nodes whether an upstream has ended when this one reaches no other

A request that ends all upstreams of a deployment was known by fewer ends than there were: the node that met the last one reached no other upstream, could not tell that from the loss of its own links, and recorded nothing. It now asks three other nodes, which probe the upstream: one that is accepted by another node has not ended; one that others are refused by has. The probes have a file of their own.

The test that sends a request every 30 ms still fails: 5 ended, all known to all nodes, counted as fewer.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -18,17 +18,10 @@
 import {listRequestKeys, listSegmentKeys} from '@parsleyarch/policy/crash-keys';
 import {hashName, listFirstMembers} from '@parsleyarch/policy/rendezvous';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
-import {wait} from '@parsleyarch/lifecycle/process';
 import type {AnswerBody, Send} from './attempt.js';
+import {Finding, findEnd} from './end-probes.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
-import {isLeaving} from './notices.js';
-import {openConnection, reachesOthers} from './reachability.js';
-
-/** Time after which a listener of a process that ended is closed as well. */
-const LISTENER_CLOSE_MS = 20;
-/** Time limit of the connection that shows whether an upstream has ended. */
-const PROBE_TIMEOUT_MS = 200;
 
 /** Time after which a culprit is tried again if the last trial had no result. */
 const TRIAL_INTERVAL_MS = 5_000;
@@ -65,59 +58,6 @@
   return `${id}@${incarnation}`;
 }
 
-/** Whether an address refuses connections; false if it does not respond. */
-function refusesConnections(
-  {agent}: EntryNode,
-  address: string,
-): Promise<boolean> {
-  return new Promise(resolve => {
-    const socket = openConnection(agent, address);
-    const finish = (refused: boolean) => {
-      socket.destroy();
-      resolve(refused);
-    };
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish(false));
-    socket.once('connect', () => finish(false));
-    socket.once('error', error =>
-      finish('code' in error && error.code === 'ECONNREFUSED'),
-    );
-  });
-}
-
-/** Whether an upstream was expected to serve requests until now. */
-function isExpectedToRun(
-  node: EntryNode,
-  upstream: RegisteredUpstream,
-): boolean {
-  const registered = node.upstreams.get(upstream.id)?.registered;
-  if (registered?.incarnation !== upstream.incarnation) return false;
-  return !registered.draining && !isLeaving(node, registered);
-}
-
-/** What a probe of an upstream that closed a connection has found. */
-const Finding = {
-  ended: 'ended',
-  /** It was about to stop, or another one has taken its place. */
-  notExpected: 'not expected to run',
-  notRefused: 'refuses no connections',
-  /** A node that has lost its own links gets refusals from all upstreams. */
-  unknown: 'no other upstream reached',
-} as const;
-type Finding = (typeof Finding)[keyof typeof Finding];
-
-async function probe(
-  node: EntryNode,
-  upstream: RegisteredUpstream,
-): Promise<Finding> {
-  if (!isExpectedToRun(node, upstream)) return Finding.notExpected;
-  await wait(LISTENER_CLOSE_MS);
-  if (!(await refusesConnections(node, upstream.address)))
-    return Finding.notRefused;
-  return (await reachesOthers(node, upstream))
-    ? Finding.ended
-    : Finding.unknown;
-}
-
 /** Probes an upstream; requests that break off at the same time share a probe. */
 function probeOnce(
   node: EntryNode,
@@ -126,7 +66,7 @@
   const key = incarnationKey(upstream);
   const running = node.crashes.probes.get(key);
   if (running) return running;
-  const started = probe(node, upstream).finally(() =>
+  const started = findEnd(node, upstream).finally(() =>
     node.crashes.probes.delete(key),
   );
   node.crashes.probes.set(key, started);
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -20,6 +20,7 @@
 import {collectLoad, shareLoads} from './load.js';
 import {probeWhileCutOff} from './reachability.js';
 import {keepRegistered, routerSubscriber} from './membership.js';
+import {probeForPeer} from './end-probes.js';
 import {createEntryNode, type EntryNode} from './node.js';
 import type {EntrySettings} from './settings.js';
 
@@ -80,6 +81,7 @@
       consult: consultation => answerConsultation(node, consultation),
       shareLoad: report => collectLoad(node, report),
       followChanges: request => serveFollower(node, request),
+      probeUpstream: probed => probeForPeer(node, probed),
     });
     registerResource(node.manager, 'peer-listener', () =>
       closePeerServer(server),
--- a/apps/router/src/peering.ts
+++ b/apps/router/src/peering.ts
@@ -14,7 +14,10 @@
  */
 export function peerHandlers(
   node: RouterNode,
-): Omit<PeerHandlers, 'consult' | 'shareLoad' | 'followChanges'> {
+): Omit<
+  PeerHandlers,
+  'consult' | 'shareLoad' | 'followChanges' | 'probeUpstream'
+> {
   return {
     beats: () => ({beats: listHeartbeats(node)}),
     fetchEntries: ({revision}) => listEntriesAfter(node, revision),
--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -121,6 +121,20 @@
   t.is(node.crashes.evidence.crashes.size, 0);
 });
 
+test('the end of an upstream is recorded by all nodes although they reach no other one', async t => {
+  const site = await startNodes(t, 3);
+  const upstreams = await startCrashingUpstreams(site, 3, () => true, {
+    restartMs: 60_000,
+  });
+  await until(() => site.entries[0].node.upstreams.size === 3);
+  for (let sent = 0; upstreams.ended.length < 3 && sent < 20; sent += 1)
+    await send(site, sent, 'fatal');
+  await until(() =>
+    site.entries.every(({node}) => node.crashes.evidence.crashes.size === 3),
+  );
+  t.is(upstreams.ended.length, 3);
+});
+
 let prompts = 0;
 
 /** A request that shares all but the last part of its prompt with others. */
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -263,6 +263,22 @@
    */
   readonly returnedAgoMs: number;
 }
+/** One incarnation of a registered upstream. */
+export interface ProbedUpstream {
+  readonly upstream: string;
+  readonly incarnation: number;
+}
+/** How an upstream treats a new connection. */
+export const ProbeResult = {
+  accepted: 'accepted',
+  refused: 'refused',
+  /** It does not respond, or the node does not know the incarnation. */
+  unknown: 'unknown',
+} as const;
+export type ProbeResult = (typeof ProbeResult)[keyof typeof ProbeResult];
+export interface ProbeAnswer {
+  readonly result: ProbeResult;
+}
 /** An empty message. */
 export type Ack = Record<string, never>;
 
@@ -280,6 +296,7 @@
   consult: [Consultation, Advice];
   shareLoad: [LoadReport, LoadSummary];
   followChanges: [ChangesAfter, Changes];
+  probeUpstream: [ProbedUpstream, ProbeAnswer];
 }
 
 /** Name of a call between nodes. */
