Count the trials of a request that ends upstreams in the store, for all nodes

Callers found no upstream again each time all nodes had been replaced: what nodes know of ends is soft state, and the trial after a refusal belonged to the first member of each node's own view, so that two views made two trials, without an end to their number. A request that was refused by mistake waited 30 s.

The store now holds a record of each culprit with its number of trials. An answer removes it. When to try is a pure decision (crash-trials): at once, or after a second, for what upstreams have answered before, later otherwise, and never at the last upstream that is up. A record is written a second after the end at the earliest, as answers under way may clear the request.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -9,6 +9,7 @@
   createCrashEvidence,
   createSuspects,
   dropOldCrashes,
+  listCulprits,
   mergeCrash,
   Suspicion,
   type Assessment,
@@ -16,20 +17,26 @@
   type CrashEvidence,
 } from '@parsleyarch/policy/crash-evidence';
 import {listRequestKeys, listSegmentKeys} from '@parsleyarch/policy/crash-keys';
-import {hashName, listFirstMembers} from '@parsleyarch/policy/rendezvous';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
-import type {AnswerBody, Send} from './attempt.js';
+import type {Send} from './attempt.js';
 import {Finding, findEnd} from './end-probes.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 
-/** Time after which a culprit is tried again if the last trial had no result. */
-const TRIAL_INTERVAL_MS = 5_000;
-/** Number of upstreams that may end under one request before it is given up. */
-const MAX_CRASHES_OF_REQUEST = 2;
 /** Number of keys whose answers are remembered. */
 const MAX_ANSWERED_COUNT = 2_000;
 
+/** A culprit as the store holds it, so that it outlives the nodes. */
+export interface CulpritRecord {
+  readonly key: string;
+  /** Trials that all nodes have made so far. */
+  readonly trialCount: number;
+  /** Revision of the record; 0 if the store has lost it. */
+  readonly revision: number;
+  /** When this node learned of that revision, monotonic milliseconds. */
+  readonly changedAt: number;
+}
+
 /** What a node knows of upstreams that ended. */
 export interface Crashes {
   readonly evidence: CrashEvidence;
@@ -39,8 +46,10 @@
   readonly probes: Map<string, Promise<Finding>>;
   /** Digest of the evidence of other nodes at the last exchange, by node. */
   readonly digests: Map<string, number>;
-  /** When this node last tried a culprit again, by key. */
-  readonly trials: Map<string, number>;
+  /** What the store holds of culprits, by key. */
+  readonly records: Map<string, CulpritRecord>;
+  /** Culprits whose records this node is writing, by key. */
+  readonly pendingWrites: Set<string>;
 }
 
 export function createCrashes(): Crashes {
@@ -49,7 +58,8 @@
     answeredSends: new Map(),
     probes: new Map(),
     digests: new Map(),
-    trials: new Map(),
+    records: new Map(),
+    pendingWrites: new Set(),
   };
 }
 
@@ -119,7 +129,7 @@
 }
 
 /** Keys of a request in the evidence on crashes, the most specific first. */
-function listKeys(exchange: Exchange): readonly string[] {
+export function listKeys(exchange: Exchange): readonly string[] {
   exchange.crashKeys ??= createKeys(exchange);
   return exchange.crashKeys;
 }
@@ -136,20 +146,16 @@
   return [...listRequestKeys(traits), ...listSegmentKeys(traits)];
 }
 
-/**
- * Called when an upstream has completed a successful answer. One that ends with its
- * connection may have been cut off by a crash.
- */
-export function recordSurvival(
+/** Records that an upstream has answered a send completely. */
+export function recordAnsweredSend(
   node: EntryNode,
   exchange: Exchange,
-  {closeDelimited, send: {startedAt}}: AnswerBody,
+  sentAt: number,
 ): void {
-  if (closeDelimited) return;
   const {answeredSends} = node.crashes;
   const keys = listKeys(exchange);
   for (const key of keys) {
-    const latest = Math.max(startedAt, answeredSends.get(key) ?? -Infinity);
+    const latest = Math.max(sentAt, answeredSends.get(key) ?? -Infinity);
     // Re-insertion keeps the map in order of use, so the oldest are evicted first.
     answeredSends.delete(key);
     answeredSends.set(key, latest);
@@ -158,11 +164,11 @@
     if (answeredSends.size <= MAX_ANSWERED_COUNT) break;
     answeredSends.delete(key);
   }
-  clear(node, keys, startedAt, exchange.caller.attemptId);
+  clear(node, keys, sentAt, exchange.caller.attemptId);
 }
 
 /** Clears suspects of the crashes before a send that was answered. */
-function clear(
+export function clear(
   node: EntryNode,
   keys: readonly string[],
   sentAt: number,
@@ -186,60 +192,39 @@
   }
 }
 
-/** Assesses a request by the crashes that this node knows of. */
+/** Assesses a request by the crashes and culprits that this node knows of. */
 export function assessExchange(
-  {crashes: {evidence}}: EntryNode,
+  node: EntryNode,
   exchange: Exchange,
 ): Assessment {
+  const [culprit] = listCulpritsOf(node, exchange);
+  if (culprit) return culprit;
+  const {evidence} = node.crashes;
   const keys = evidence.crashes.size > 0 ? listKeys(exchange) : [];
   return assessRequest(evidence, keys);
 }
 
-/** Whether this node may try a culprit again; one node does so for each. */
-function mayTry(node: EntryNode, {key, refusedUntil}: Assessment): boolean {
-  const now = node.clock();
-  if (now < refusedUntil) return false;
-  const [first] = listFirstMembers(hashName(key), node.members.values(), 1);
-  if (first?.name !== node.settings.node) return false;
-  const {trials} = node.crashes;
-  if (now - (trials.get(key) ?? -Infinity) < TRIAL_INTERVAL_MS) return false;
-  trials.set(key, now);
-  return true;
-}
-
-/**
- * Returns why a request may not be sent to an upstream because of crashes, or
- * `undefined` if it may.
- */
-export function findCrashDenial(
-  node: EntryNode,
-  exchange: Exchange,
-): string | undefined {
-  if (exchange.crashes >= MAX_CRASHES_OF_REQUEST)
-    return 'upstreams ended under it';
-  const assessment = assessExchange(node, exchange);
-  if (assessment.suspicion !== Suspicion.culprit) return undefined;
-  const isTrial = mayTry(node, assessment);
-  const {key, endCount, refusedUntil} = assessment;
-  node.logDecision('culprit', {
-    requestId: exchange.caller.attemptId,
-    choice: isTrial ? 'try' : 'refuse',
-    key,
-    ends: endCount,
-    refusedForMs: Math.round(refusedUntil - node.clock()),
-  });
-  if (isTrial) return undefined;
-  return 'requests like it end upstreams';
-}
-
-/** Time until a request that is refused as a culprit may be tried, milliseconds. */
-export function findRefusalMs(
-  node: EntryNode,
+/** The culprits that a request is or holds, by evidence or by the store. */
+export function listCulpritsOf(
+  {crashes: {evidence, records}}: EntryNode,
   exchange: Exchange,
-): number | undefined {
-  const {suspicion, refusedUntil} = assessExchange(node, exchange);
-  if (suspicion !== Suspicion.culprit) return undefined;
-  return Math.max(TRIAL_INTERVAL_MS, refusedUntil - node.clock());
+): Assessment[] {
+  if (evidence.crashes.size === 0 && records.size === 0) return [];
+  const keys = listKeys(exchange);
+  const culprits = listCulprits(evidence, keys);
+  const known = new Set(culprits.map(({key}) => key));
+  for (const key of keys) {
+    const record = known.has(key) ? undefined : records.get(key);
+    if (!record) continue;
+    const lastEndAt = record.changedAt;
+    culprits.push({
+      suspicion: Suspicion.culprit,
+      key,
+      endCount: 0,
+      lastEndAt,
+    });
+  }
+  return culprits;
 }
 
 /** Reports what this node knows of crashes, unless the receiver knows the same. */
--- /dev/null
+++ b/apps/router/src/entry/culprits.ts
@@ -0,0 +1,313 @@
+/**
+ * Requests that are refused because requests like them end upstreams, and the trials
+ * that show whether they still do. The store holds a record of each culprit with the
+ * number of its trials; a node claims a trial by a conditional write, so that all
+ * nodes together make no more than one at a time. Answers of trials remove the record.
+ */
+import {wait} from '@parsleyarch/lifecycle/process';
+import {STORE_KEY} from '@parsleyarch/platform/names';
+import type {Assessment} from '@parsleyarch/policy/crash-evidence';
+import {Doubt, nextTrialAt} from '@parsleyarch/policy/crash-trials';
+import {commitTransaction, type StoredItem} from '@parsleyarch/store/keyspace';
+import {createHash} from 'node:crypto';
+import {z} from 'zod';
+import type {AnswerBody} from './attempt.js';
+import {
+  clear,
+  listCulpritsOf,
+  listKeys,
+  recordAnsweredSend,
+  type CulpritRecord,
+} from './crashes.js';
+import {capacityWaitMs, type Exchange} from './exchange.js';
+import {countUsableUpstreams} from './exclusions.js';
+import type {EntryNode} from './node.js';
+import {isRestoring} from './restoration.js';
+
+/** Number of upstreams that may end under one request before it is given up. */
+const MAX_CRASHES_OF_REQUEST = 2;
+/**
+ * Age of the latest end from which a culprit is recorded in the store. Answers that are
+ * under way may still clear it.
+ */
+const RECORD_DELAY_MS = 1_000;
+/** Number of records in the store; the oldest ones are removed. */
+const MAX_RECORD_COUNT = 200;
+/** Time for which requests may wait for the result of a trial that has begun. */
+const TRIAL_RESULT_MS = 1_000;
+const TRIAL_POLL_MS = 10;
+/** Maximum random delay before a node writes a record that the store has lost. */
+const MAX_REWRITE_JITTER_MS = 1_500;
+/** Bounds of the time after which refused callers should retry. */
+const MIN_RETRY_AFTER_MS = 1_000;
+const MAX_RETRY_AFTER_MS = 600_000;
+
+export const CULPRITS_PREFIX = `${STORE_KEY.router}culprits/`;
+
+const RecordEntry = z.object({key: z.string(), trialCount: z.number()});
+
+/** Keys of the store are short; those of culprits need not be. */
+function storeKeyOf(key: string): string {
+  return CULPRITS_PREFIX + createHash('sha256').update(key).digest('hex');
+}
+
+function decodeRecord(
+  node: EntryNode,
+  {key, value, revision}: StoredItem,
+): CulpritRecord | undefined {
+  try {
+    const entry = RecordEntry.parse(JSON.parse(String(value)));
+    return {...entry, revision, changedAt: node.clock()};
+  } catch (thrown) {
+    node.log.warn({key, error: String(thrown)}, 'culprit cannot be decoded');
+    return undefined;
+  }
+}
+
+/** Forgets a culprit that others have tried with success. */
+function forget(node: EntryNode, {key}: CulpritRecord): void {
+  node.crashes.records.delete(key);
+  clear(node, [key], node.clock());
+  node.logDecision('culprit', {choice: 'forget', key});
+}
+
+/** Applies a change of a record in the store. */
+export function applyCulprit(node: EntryNode, item: StoredItem): void {
+  const {records} = node.crashes;
+  if (!item.value) {
+    for (const record of records.values()) {
+      if (storeKeyOf(record.key) === item.key) return forget(node, record);
+    }
+    return;
+  }
+  const record = decodeRecord(node, item);
+  const known = record && records.get(record.key);
+  if (!record || known?.revision === record.revision) return;
+  const trialCount = Math.max(record.trialCount, known?.trialCount ?? 0);
+  records.set(record.key, {...record, trialCount});
+}
+
+/** Applies what a full read of the store lacks. */
+export function resetCulprits(
+  node: EntryNode,
+  items: readonly StoredItem[],
+): void {
+  const {records} = node.crashes;
+  const keys = new Set(items.map(({key}) => key));
+  for (const record of [...records.values()]) {
+    if (keys.has(storeKeyOf(record.key))) continue;
+    if (!isRestoring(node)) {
+      forget(node, record);
+      continue;
+    }
+    records.set(record.key, {...record, revision: 0});
+    setTimeout(
+      () => void writeRecords(node, [record.key], 0),
+      node.random() * MAX_REWRITE_JITTER_MS,
+    ).unref();
+  }
+}
+
+/** The oldest records, if there is no room for further ones. */
+function listEvicted({crashes: {records}}: EntryNode, added: number) {
+  const excess = records.size + added - MAX_RECORD_COUNT;
+  if (excess <= 0) return [];
+  const oldestFirst = [...records.values()].sort(
+    (a, b) => a.revision - b.revision,
+  );
+  return oldestFirst.slice(0, excess).map(({key}) => storeKeyOf(key));
+}
+
+/**
+ * Writes records, with a number of further trials, if the store holds what this node
+ * knows of them. Returns whether they were written, `undefined` if that is not known.
+ */
+async function writeRecords(
+  node: EntryNode,
+  keys: readonly string[],
+  furtherTrials: number,
+): Promise<boolean | undefined> {
+  const {records, pendingWrites} = node.crashes;
+  if (keys.some(key => pendingWrites.has(key))) return false;
+  const before = keys.map(key => records.get(key));
+  if (furtherTrials === 0 && before.every(record => record?.revision))
+    return false;
+  const entries = keys.map((key, index) => ({
+    key,
+    trialCount: (before[index]?.trialCount ?? 0) + furtherTrials,
+  }));
+  for (const key of keys) pendingWrites.add(key);
+  const addedCount = before.filter(record => !record).length;
+  const written = await commitTransaction(node.keyspace, {
+    expected: keys.map((key, index) => ({
+      key: storeKeyOf(key),
+      revision: before[index]?.revision ?? 0,
+    })),
+    writes: entries.map(entry => ({
+      key: storeKeyOf(entry.key),
+      value: Buffer.from(JSON.stringify(entry)),
+    })),
+    removed: listEvicted(node, addedCount),
+  });
+  for (const key of keys) pendingWrites.delete(key);
+  if (written.isErr()) {
+    node.log.warn({keys, error: written.error.message}, 'culprit not recorded');
+    return undefined;
+  }
+  const revision = written.value;
+  if (revision === undefined) return false;
+  // The store's changes may have arrived before its answer, and later ones too.
+  if ((node.feed.revision ?? 0) >= revision) return true;
+  const changedAt = node.clock();
+  for (const entry of entries)
+    records.set(entry.key, {...entry, revision, changedAt});
+  return true;
+}
+
+function trialAt(
+  {crashes: {records, answeredSends}}: EntryNode,
+  {key, lastEndAt}: Assessment,
+): number {
+  const record = records.get(key);
+  return nextTrialAt({
+    trialCount: record?.trialCount ?? 0,
+    changedAt: Math.max(lastEndAt, record?.changedAt ?? -Infinity),
+    doubt: answeredSends.has(key) ? Doubt.answeredBefore : Doubt.none,
+  });
+}
+
+/** Whether a trial may be made without risk to the last upstream that is left. */
+function isTrialDue(
+  node: EntryNode,
+  exchange: Exchange,
+  culprits: readonly Assessment[],
+): boolean {
+  const now = node.clock();
+  if (culprits.some(culprit => trialAt(node, culprit) > now)) return false;
+  const {usable, registered} = countUsableUpstreams(node, exchange);
+  return usable > 1 || (usable === 1 && registered === 1);
+}
+
+/** Whether a trial of a culprit has begun whose result is not known yet. */
+function isBeingTried(node: EntryNode, {key}: Assessment): boolean {
+  const {records, pendingWrites} = node.crashes;
+  if (pendingWrites.has(key)) return true;
+  const record = records.get(key);
+  if (!record || record.trialCount === 0) return false;
+  return node.clock() - record.changedAt < TRIAL_RESULT_MS;
+}
+
+/**
+ * Claims the next trial for a request that is a culprit, if it is time for one. While
+ * another request is tried, waits a moment for the result.
+ */
+export async function claimTrial(
+  node: EntryNode,
+  exchange: Exchange,
+): Promise<void> {
+  if (exchange.trialKeys) return;
+  const waitUntil = node.clock() + capacityWaitMs(exchange);
+  let isTaken = false;
+  while (!exchange.ended && exchange.runs === 0) {
+    const culprits = listCulpritsOf(node, exchange);
+    if (culprits.length === 0) return;
+    const keys = culprits.map(({key}) => key);
+    if (!isTaken && isTrialDue(node, exchange, culprits)) {
+      const claimed = await writeRecords(node, keys, 1);
+      if (claimed) exchange.trialKeys = keys;
+      if (claimed || claimed === undefined) return;
+      isTaken = true;
+    }
+    const isTried = culprits.some(culprit => isBeingTried(node, culprit));
+    if (!isTaken && !isTried) return;
+    if (node.clock() >= waitUntil) return;
+    await wait(TRIAL_POLL_MS);
+  }
+}
+
+/**
+ * Returns why a request may not be sent to an upstream because of crashes, or
+ * `undefined` if it may.
+ */
+export function findCrashDenial(
+  node: EntryNode,
+  exchange: Exchange,
+): string | undefined {
+  if (exchange.crashes >= MAX_CRASHES_OF_REQUEST)
+    return 'upstreams ended under it';
+  const culprits = listCulpritsOf(node, exchange);
+  if (culprits.length === 0) return undefined;
+  const isTrial =
+    exchange.runs === 0 &&
+    culprits.every(({key}) => exchange.trialKeys?.includes(key));
+  const [{key, endCount, lastEndAt}] = culprits;
+  node.logDecision('culprit', {
+    requestId: exchange.caller.attemptId,
+    choice: isTrial ? 'try' : 'refuse',
+    key,
+    ends: endCount,
+    trials: node.crashes.records.get(key)?.trialCount ?? 0,
+    lastEndAgoMs: Math.round(node.clock() - lastEndAt),
+  });
+  if (isTrial) return undefined;
+  recordCulprits(node, culprits);
+  return 'requests like it end upstreams';
+}
+
+/** Records culprits in the store that are not recorded yet. */
+function recordCulprits(
+  node: EntryNode,
+  culprits: readonly Assessment[],
+): void {
+  const oldest = node.clock() - RECORD_DELAY_MS;
+  for (const {key, lastEndAt} of culprits) {
+    if (lastEndAt < oldest) void writeRecords(node, [key], 0);
+  }
+}
+
+/** Time until a request that is refused as a culprit may be tried, milliseconds. */
+export function findRefusalMs(
+  node: EntryNode,
+  exchange: Exchange,
+): number | undefined {
+  const culprits = listCulpritsOf(node, exchange);
+  if (culprits.length === 0) return undefined;
+  const dueAt = Math.max(...culprits.map(culprit => trialAt(node, culprit)));
+  const untilDueMs = Math.max(MIN_RETRY_AFTER_MS, dueAt - node.clock());
+  return Math.min(MAX_RETRY_AFTER_MS, untilDueMs);
+}
+
+/** Removes the records of a request that an upstream has answered. */
+async function releaseCulprits(
+  node: EntryNode,
+  exchange: Exchange,
+  sentAt: number,
+): Promise<void> {
+  const {records} = node.crashes;
+  const released = listKeys(exchange).flatMap(key => records.get(key) ?? []);
+  for (const {key, revision, changedAt} of released) {
+    if (sentAt < changedAt) continue;
+    const removed = await commitTransaction(node.keyspace, {
+      expected: [{key: storeKeyOf(key), revision}],
+      writes: [],
+      removed: [storeKeyOf(key)],
+    });
+    if (removed.isErr())
+      node.log.warn({key, error: removed.error.message}, 'culprit not removed');
+  }
+}
+
+/**
+ * Called when an upstream has completed a successful answer. One that ends with its
+ * connection may have been cut off by a crash.
+ */
+export function recordSurvival(
+  node: EntryNode,
+  exchange: Exchange,
+  {closeDelimited, send: {startedAt}}: AnswerBody,
+): void {
+  if (closeDelimited) return;
+  recordAnsweredSend(node, exchange, startedAt);
+  if (node.crashes.records.size > 0)
+    void releaseCulprits(node, exchange, startedAt);
+}
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -8,6 +8,7 @@
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {AnswerBody, Outcome} from './attempt.js';
 import {
+  capacityWaitMs,
   isRepeatable,
   isStream,
   RETRY_AFTER_MS,
@@ -16,7 +17,8 @@
 import {chooseLargerModel, recordConfidenceGain} from './models.js';
 import type {EntryNode} from './node.js';
 import {delegate, selectDelegate} from './delegation.js';
-import {findRefusalMs, recordBrokenAnswer, recordSurvival} from './crashes.js';
+import {recordBrokenAnswer} from './crashes.js';
+import {claimTrial, findRefusalMs, recordSurvival} from './culprits.js';
 import {isCutOff} from './reachability.js';
 import {readAnswerBody} from './relay.js';
 import {endWithAnswer, endWithFailure, type BufferedAnswer} from './reply.js';
@@ -33,8 +35,6 @@
  * and at their limits.
  */
 const CAPACITY_POLL_MS = 40;
-/** Maximum wait for an upstream, as a fraction of the latency objective; at most 1 s. */
-const MAX_CAPACITY_WAIT_RATIO = 0.125;
 
 /** Result of the sends so far. */
 interface Progress {
@@ -56,9 +56,7 @@
   exchange: Exchange,
   model?: string,
 ): Promise<Selection | undefined> {
-  const waitUntil =
-    node.clock() +
-    Math.min(1_000, exchange.route.objectiveMs * MAX_CAPACITY_WAIT_RATIO);
+  const waitUntil = node.clock() + capacityWaitMs(exchange);
   for (;;) {
     const selection = selectUpstream(node, exchange, model);
     if (selection || exchange.ended || node.clock() >= waitUntil)
@@ -204,6 +202,8 @@
   exchange: Exchange,
   progress: Progress,
 ): Promise<Step> {
+  await claimTrial(node, exchange);
+  if (exchange.ended) return Step.done;
   const denial = reserveSend(node, exchange);
   if (denial) {
     progress.reason = `${denial} (${progress.reason})`;
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -63,6 +63,8 @@
   crashes: number;
   /** Keys of this request in the evidence on crashes; computed when needed. */
   crashKeys?: readonly string[];
+  /** Culprits among these keys that it is to try again; absent if it tries none. */
+  trialKeys?: readonly string[];
   /** Whether it failed on the version that is being rolled out. */
   freshFailed: boolean;
   /** Whether the caller has disconnected or the answer is finished. */
@@ -87,6 +89,14 @@
   );
 }
 
+/** Maximum wait for an upstream, as a fraction of the latency objective; at most 1 s. */
+const MAX_CAPACITY_WAIT_RATIO = 0.125;
+
+/** Time for which a request may wait until an upstream can accept it, milliseconds. */
+export function capacityWaitMs({route}: Exchange): number {
+  return Math.min(1_000, route.objectiveMs * MAX_CAPACITY_WAIT_RATIO);
+}
+
 /** Priority of a request; that of its customer overrides that of the route. */
 export function priorityOf(exchange: Exchange): number {
   return exchange.customer?.priority ?? exchange.route.priority;
--- a/apps/router/src/entry/exclusions.ts
+++ b/apps/router/src/entry/exclusions.ts
@@ -52,6 +52,22 @@
   return false;
 }
 
+/** Upstreams of a request's service: those that it may use, and all of them. */
+export function countUsableUpstreams(
+  node: EntryNode,
+  exchange: Exchange,
+): {usable: number; registered: number} {
+  let usable = 0;
+  let registered = 0;
+  for (const state of node.upstreams.values()) {
+    if (state.registered.service !== exchange.service) continue;
+    registered += 1;
+    if (findExclusion(node, exchange, state)) continue;
+    if (node.clock() >= state.backoffUntil) usable += 1;
+  }
+  return {usable, registered};
+}
+
 /** Work at the least loaded upstream that the request may use, tried or not. */
 export function findLeastWork(node: EntryNode, exchange: Exchange): number {
   let leastWork = Infinity;
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -1,6 +1,7 @@
 /**
  * The keys in the store that the router itself writes: its nodes, registered
- * under leases, the key that they share, the holder of roll-outs and its plans.
+ * under leases, the key that they share, the holder of roll-outs and its plans, and
+ * the culprits of crashes.
  */
 import {registerResource} from '@parsleyarch/lifecycle/manager';
 import {repeat, wait} from '@parsleyarch/lifecycle/process';
@@ -17,6 +18,7 @@
 } from '@parsleyarch/store/keyspace';
 import {randomBytes} from 'node:crypto';
 import {z} from 'zod';
+import {applyCulprit, CULPRITS_PREFIX, resetCulprits} from './culprits.js';
 import type {Subscriber} from './feed.js';
 import {applyHolderChange, isHolderKey, PLAN_KEY_PREFIX} from './holder.js';
 import type {EntryNode} from './node.js';
@@ -169,6 +171,7 @@
 function applyRouterItem(node: EntryNode, item: StoredItem): void {
   if (item.key.startsWith(MEMBERS_PREFIX)) applyMember(node, item);
   else if (item.key.startsWith(PLAN_KEY_PREFIX)) applyPlanItem(node, item);
+  else if (item.key.startsWith(CULPRITS_PREFIX)) applyCulprit(node, item);
   else if (isHolderKey(item.key))
     applyHolderChange(node, item.value, item.revision);
   else if (item.key === PEER_KEY && item.value)
@@ -205,6 +208,10 @@
       );
       if (!items.some(({key}) => isHolderKey(key)))
         applyHolderChange(node, undefined, 0);
+      resetCulprits(
+        node,
+        items.filter(({key}) => key.startsWith(CULPRITS_PREFIX)),
+      );
       for (const item of items) applyRouterItem(node, item);
     },
     change: item => applyRouterItem(node, item),
--- a/apps/router/src/entry/restoration.ts
+++ b/apps/router/src/entry/restoration.ts
@@ -18,7 +18,7 @@
 }
 
 /** Whether entries may be missing only because the store was restored. */
-function isRestoring(node: EntryNode): boolean {
+export function isRestoring(node: EntryNode): boolean {
   return node.clock() - node.restoredAt < REWRITE_MS;
 }
 
--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -8,7 +8,7 @@
   returnRetry,
   type RetryWindow,
 } from '@parsleyarch/policy/retry-window';
-import {findCrashDenial} from './crashes.js';
+import {findCrashDenial} from './culprits.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import {hasUntriedUpstream} from './exclusions.js';
 import type {EntryNode} from './node.js';
@@ -99,6 +99,8 @@
   node: EntryNode,
   exchange: Exchange,
 ): boolean {
+  // The answer of a trial is what shows that the request is sound.
+  if (exchange.trialKeys) return false;
   const window = getRetryWindow(node, exchange.service);
   const anyUpstream = {...exchange, triedUpstreams: new Set<string>()};
   return (
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -2,7 +2,8 @@
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
-import {recordBrokenAnswer, recordSurvival} from './crashes.js';
+import {recordBrokenAnswer} from './crashes.js';
+import {recordSurvival} from './culprits.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -18,8 +18,6 @@
 const SUSPECT_CRASH_COUNT = 2;
 /** Longest time between two ends that may have a common cause. */
 const COMMON_CAUSE_MS = 50;
-/** Time for which a culprit is refused after its latest end; doubles with each. */
-const MIN_REFUSAL_MS = 30_000;
 /** Time for which an end is remembered. */
 const RETENTION_MS = 600_000;
 /** Number of ends that are remembered; the oldest are dropped. */
@@ -201,26 +199,19 @@
   readonly suspicion: Suspicion;
   /** The key that is under suspicion; empty if none is. */
   readonly key: string;
-  /** When a culprit may be tried again, monotonic milliseconds. */
-  readonly refusedUntil: number;
   /** Ends that count for the key. */
   readonly endCount: number;
+  /** When the latest of them was noticed, monotonic milliseconds. */
+  readonly lastEndAt: number;
 }
 
 const NO_SUSPICION: Assessment = {
   suspicion: Suspicion.none,
   key: '',
-  refusedUntil: -Infinity,
   endCount: 0,
+  lastEndAt: -Infinity,
 };
 
-function createCulprit(key: string, ends: readonly number[]): Assessment {
-  const refusalMs = MIN_REFUSAL_MS * 2 ** (ends.length - CULPRIT_CRASH_COUNT);
-  const refusedUntil = (ends.at(-1) ?? 0) + refusalMs;
-  const endCount = ends.length;
-  return {suspicion: Suspicion.culprit, key, refusedUntil, endCount};
-}
-
 /** A suspect with the crashes in which it was not cleared. */
 interface Candidate {
   readonly key: string;
@@ -272,32 +263,43 @@
       crash => (explanations.get(crash) ?? subject) === subject,
     );
     if (countedEnds(unexplained, key).length < CULPRIT_CRASH_COUNT) continue;
-    assessments.set(key, createCulprit(key, ends));
+    assessments.set(key, {
+      suspicion: Suspicion.culprit,
+      key,
+      endCount: ends.length,
+      lastEndAt: ends.at(-1) ?? -Infinity,
+    });
     for (const crash of crashes) explanations.set(crash, subject);
   }
   evidence.culprits = {digest, assessments};
   return assessments;
 }
 
+/** Assessments of those keys of a request that are culprits, in their order. */
+export function listCulprits(
+  evidence: CrashEvidence,
+  keys: readonly string[],
+): Assessment[] {
+  const culprits = findCulprits(evidence);
+  return keys.flatMap(key => culprits.get(key) ?? []);
+}
+
 /** Assesses a request by its keys, the most specific one first. */
 export function assessRequest(
   evidence: CrashEvidence,
   keys: readonly string[],
 ): Assessment {
-  const culprits = findCulprits(evidence);
-  for (const key of keys) {
-    const culprit = culprits.get(key);
-    if (culprit) return culprit;
-  }
+  const [culprit] = listCulprits(evidence, keys);
+  if (culprit) return culprit;
   for (const key of keys) {
     const ends = countedEnds(listCrashes(evidence, key), key);
-    if (ends.length >= SUSPECT_CRASH_COUNT)
-      return {
-        suspicion: Suspicion.suspect,
-        key,
-        refusedUntil: -Infinity,
-        endCount: ends.length,
-      };
+    if (ends.length < SUSPECT_CRASH_COUNT) continue;
+    return {
+      suspicion: Suspicion.suspect,
+      key,
+      endCount: ends.length,
+      lastEndAt: ends.at(-1) ?? -Infinity,
+    };
   }
   return NO_SUSPICION;
 }
--- /dev/null
+++ b/packages/policy/src/crash-trials.ts
@@ -0,0 +1,46 @@
+/**
+ * Decides when a request that ends upstreams is sent to one again. Requests like it
+ * are refused meanwhile. All nodes count the same trials, so that few upstreams end
+ * under a request once it is known, however many nodes receive it; a request that is
+ * refused by mistake is served again after the first trial.
+ */
+
+/** Why a culprit may be sound after all. */
+export const Doubt = {
+  none: 'none',
+  /** Upstreams have answered such requests before the ends. */
+  answeredBefore: 'answered before',
+} as const;
+export type Doubt = (typeof Doubt)[keyof typeof Doubt];
+
+const SECOND_MS = 1_000;
+const MINUTE_MS = 60 * SECOND_MS;
+/** Time before each further trial; three at most are made in this time. */
+const LAST_DELAY_MS = 24 * 60 * MINUTE_MS;
+
+/**
+ * Times between an end or a trial and the next trial. In doubt the first one waits only
+ * for answers that are under way and may clear the request.
+ */
+const TRIAL_DELAYS_MS: Readonly<Record<Doubt, readonly number[]>> = {
+  [Doubt.none]: [30 * SECOND_MS, 2 * MINUTE_MS, 10 * MINUTE_MS],
+  [Doubt.answeredBefore]: [SECOND_MS, 3 * SECOND_MS, 30 * SECOND_MS],
+};
+
+/** What is known of a culprit's trials. */
+export interface TrialHistory {
+  /** Trials that all nodes have made so far. */
+  readonly trialCount: number;
+  /** When the latest end or trial became known, monotonic milliseconds. */
+  readonly changedAt: number;
+  readonly doubt: Doubt;
+}
+
+/** When a culprit may be sent to an upstream again, monotonic milliseconds. */
+export function nextTrialAt({
+  trialCount,
+  changedAt,
+  doubt,
+}: TrialHistory): number {
+  return changedAt + (TRIAL_DELAYS_MS[doubt][trialCount] ?? LAST_DELAY_MS);
+}
