Count each end under copies of a request, and try it at once in doubt

A service lost all its upstreams again and again under copies of one request that arrived together: upstreams that ended within 50 ms of each other counted once, as after a loss of power, so three rounds of restarts passed before the request was refused.

Each end under a request counts now. If its ends may have a common cause, one node tries it again at once, so that after a loss of power callers wait for one answer. What many requests share still counts by separate ends. A trial's record is removed by the revision that the store itself gave it.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -33,7 +33,7 @@
   readonly trialCount: number;
   /** Revision of the record; 0 if the store has lost it. */
   readonly revision: number;
-  /** When this node learned of that revision, monotonic milliseconds. */
+  /** When this node learned of the latest trial, monotonic milliseconds. */
   readonly changedAt: number;
 }
 
@@ -222,6 +222,7 @@
       key,
       endCount: 0,
       lastEndAt,
+      mayShareCause: false,
     });
   }
   return culprits;
--- a/apps/router/src/entry/culprits.ts
+++ b/apps/router/src/entry/culprits.ts
@@ -38,6 +38,9 @@
 const TRIAL_POLL_MS = 10;
 /** Maximum random delay before a node writes a record that the store has lost. */
 const MAX_REWRITE_JITTER_MS = 1_500;
+/** Tries to remove the record of a request that was answered, and their interval. */
+const MAX_RELEASE_COUNT = 100;
+const RELEASE_INTERVAL_MS = 50;
 /** Bounds of the time after which refused callers should retry. */
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 600_000;
@@ -81,10 +84,12 @@
     return;
   }
   const record = decodeRecord(node, item);
-  const known = record && records.get(record.key);
-  if (!record || known?.revision === record.revision) return;
+  if (!record) return;
+  const known = records.get(record.key);
   const trialCount = Math.max(record.trialCount, known?.trialCount ?? 0);
-  records.set(record.key, {...record, trialCount});
+  const isKnown = known?.trialCount === trialCount;
+  const changedAt = isKnown ? known.changedAt : record.changedAt;
+  records.set(record.key, {...record, trialCount, changedAt});
 }
 
 /** Applies what a full read of the store lacks. */
@@ -164,15 +169,21 @@
   return true;
 }
 
-function trialAt(
-  {crashes: {records, answeredSends}}: EntryNode,
-  {key, lastEndAt}: Assessment,
-): number {
-  const record = records.get(key);
+function doubtOf(
+  {crashes: {answeredSends}}: EntryNode,
+  {key, mayShareCause}: Assessment,
+): Doubt {
+  if (mayShareCause) return Doubt.commonCause;
+  return answeredSends.has(key) ? Doubt.answeredBefore : Doubt.none;
+}
+
+function trialAt(node: EntryNode, culprit: Assessment): number {
+  const {key, lastEndAt} = culprit;
+  const record = node.crashes.records.get(key);
   return nextTrialAt({
     trialCount: record?.trialCount ?? 0,
     changedAt: Math.max(lastEndAt, record?.changedAt ?? -Infinity),
-    doubt: answeredSends.has(key) ? Doubt.answeredBefore : Doubt.none,
+    doubt: doubtOf(node, culprit),
   });
 }
 
@@ -277,24 +288,40 @@
   return Math.min(MAX_RETRY_AFTER_MS, untilDueMs);
 }
 
-/** Removes the records of a request that an upstream has answered. */
+/** Records of a request that no trial has changed since a time. */
+function listUnchanged(
+  {crashes: {records}}: EntryNode,
+  keys: readonly string[],
+  sentAt: number,
+): CulpritRecord[] {
+  const known = keys.flatMap(key => records.get(key) ?? []);
+  return known.filter(({changedAt}) => changedAt <= sentAt);
+}
+
+/**
+ * Removes the records of a request that an upstream has answered. The store's own
+ * revisions are known once its changes arrive, so the first tries may fail.
+ */
 async function releaseCulprits(
   node: EntryNode,
-  exchange: Exchange,
+  keys: readonly string[],
   sentAt: number,
 ): Promise<void> {
-  const {records} = node.crashes;
-  const released = listKeys(exchange).flatMap(key => records.get(key) ?? []);
-  for (const {key, revision, changedAt} of released) {
-    if (sentAt < changedAt) continue;
+  for (let tries = 0; tries < MAX_RELEASE_COUNT; tries += 1) {
+    const released = listUnchanged(node, keys, sentAt);
+    if (released.length === 0) return;
     const removed = await commitTransaction(node.keyspace, {
-      expected: [{key: storeKeyOf(key), revision}],
+      expected: released.map(({key, revision}) => ({
+        key: storeKeyOf(key),
+        revision,
+      })),
       writes: [],
-      removed: [storeKeyOf(key)],
+      removed: released.map(({key}) => storeKeyOf(key)),
     });
-    if (removed.isErr())
-      node.log.warn({key, error: removed.error.message}, 'culprit not removed');
+    if (removed.isOk() && removed.value !== undefined) return;
+    await wait(RELEASE_INTERVAL_MS);
   }
+  node.log.warn({keys}, 'culprit not removed from the store');
 }
 
 /**
@@ -309,5 +336,5 @@
   if (closeDelimited) return;
   recordAnsweredSend(node, exchange, startedAt);
   if (node.crashes.records.size > 0)
-    void releaseCulprits(node, exchange, startedAt);
+    void releaseCulprits(node, listKeys(exchange), startedAt);
 }
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -171,11 +171,13 @@
 }
 
 /**
- * Times of crashes that count for a suspect. Upstreams that end at nearly the same
- * time while it runs on all of them may have a common cause, such as a loss of power,
- * and count once.
+ * Times of crashes, where upstreams that end at nearly the same time while a suspect
+ * runs on all of them count once: they may have a common cause, such as a loss of power.
  */
-function countedEnds(crashes: readonly KnownCrash[], key: string): number[] {
+function listSeparateEnds(
+  crashes: readonly KnownCrash[],
+  key: string,
+): number[] {
   const ends: number[] = [];
   for (const {at, suspects} of crashes) {
     const begun = at - (suspects.get(key)?.runMs ?? 0);
@@ -185,6 +187,18 @@
   return ends;
 }
 
+/**
+ * Times of crashes that count for a suspect. What many requests share runs on all
+ * upstreams at any time, so only separate ends count for it. Copies of one request do
+ * so only if its caller sends them together; each end counts, and a culprit whose ends
+ * may have a common cause is tried again at once.
+ */
+function countedEnds(crashes: readonly KnownCrash[], key: string): number[] {
+  return isSharedKey(key)
+    ? listSeparateEnds(crashes, key)
+    : crashes.map(({at}) => at);
+}
+
 export const Suspicion = {
   none: 'none',
   /** Is sent only where its next end does the least harm. */
@@ -203,6 +217,8 @@
   readonly endCount: number;
   /** When the latest of them was noticed, monotonic milliseconds. */
   readonly lastEndAt: number;
+  /** Whether a common cause may explain so many of the ends that it is no culprit. */
+  readonly mayShareCause: boolean;
 }
 
 const NO_SUSPICION: Assessment = {
@@ -210,6 +226,7 @@
   key: '',
   endCount: 0,
   lastEndAt: -Infinity,
+  mayShareCause: false,
 };
 
 /** A suspect with the crashes in which it was not cleared. */
@@ -263,11 +280,13 @@
       crash => (explanations.get(crash) ?? subject) === subject,
     );
     if (countedEnds(unexplained, key).length < CULPRIT_CRASH_COUNT) continue;
+    const separateCount = listSeparateEnds(crashes, key).length;
     assessments.set(key, {
       suspicion: Suspicion.culprit,
       key,
       endCount: ends.length,
       lastEndAt: ends.at(-1) ?? -Infinity,
+      mayShareCause: separateCount < CULPRIT_CRASH_COUNT,
     });
     for (const crash of crashes) explanations.set(crash, subject);
   }
@@ -299,6 +318,7 @@
       key,
       endCount: ends.length,
       lastEndAt: ends.at(-1) ?? -Infinity,
+      mayShareCause: false,
     };
   }
   return NO_SUSPICION;
--- a/packages/policy/src/crash-keys.ts
+++ b/packages/policy/src/crash-keys.ts
@@ -59,5 +59,5 @@
 
 /** What a key names, whatever the identity of the caller. */
 export function subjectOf(key: string): string {
-  return isSharedKey(key) ? key : key.slice(0, key.lastIndexOf(' '));
+  return key.split(' ', 2).join(' ');
 }
--- a/packages/policy/src/crash-trials.ts
+++ b/packages/policy/src/crash-trials.ts
@@ -10,6 +10,8 @@
   none: 'none',
   /** Upstreams have answered such requests before the ends. */
   answeredBefore: 'answered before',
+  /** The upstreams ended at the same time, and may have a common cause. */
+  commonCause: 'common cause',
 } as const;
 export type Doubt = (typeof Doubt)[keyof typeof Doubt];
 
@@ -19,12 +21,13 @@
 const LAST_DELAY_MS = 24 * 60 * MINUTE_MS;
 
 /**
- * Times between an end or a trial and the next trial. In doubt the first one waits only
- * for answers that are under way and may clear the request.
+ * Times between an end or a trial and the next trial. After earlier answers the first
+ * one waits only for those that are under way and may clear the request.
  */
 const TRIAL_DELAYS_MS: Readonly<Record<Doubt, readonly number[]>> = {
   [Doubt.none]: [30 * SECOND_MS, 2 * MINUTE_MS, 10 * MINUTE_MS],
   [Doubt.answeredBefore]: [SECOND_MS, 3 * SECOND_MS, 30 * SECOND_MS],
+  [Doubt.commonCause]: [0, 3 * SECOND_MS, 30 * SECOND_MS],
 };
 
 /** What is known of a culprit's trials. */
--- a/packages/policy/test/crash-evidence.test.ts
+++ b/packages/policy/test/crash-evidence.test.ts
@@ -50,16 +50,29 @@
   t.is(suspicionOf(evidence, 'a'), Suspicion.suspect);
 });
 
-test('upstreams that end while a request runs on all of them count once', t => {
-  const times = [1_000, 1_010, 1_030, 1_040, 1_045];
-  const evidence = evidenceOf(times.map(at => crash(at, ['a'], 500)));
-  t.not(suspicionOf(evidence, 'a'), Suspicion.culprit);
+const SIMULTANEOUS = [1_000, 1_010, 1_030, 1_040, 1_045];
+
+test('upstreams that end while requests with a segment run on all of them count once', t => {
+  const key = 'segment a';
+  const evidence = evidenceOf(SIMULTANEOUS.map(at => crash(at, [key], 500)));
+  t.not(suspicionOf(evidence, key), Suspicion.culprit);
+});
+
+test('upstreams that end while copies of a request run on all of them count each', t => {
+  const evidence = evidenceOf(SIMULTANEOUS.map(at => crash(at, ['a'], 500)));
+  const assessment = assessRequest(evidence, ['a']);
+  t.is(assessment.suspicion, Suspicion.culprit);
+  t.is(assessment.endCount, SIMULTANEOUS.length);
+  t.true(assessment.mayShareCause);
 });
 
 test('upstreams that end one after the other count each, though the runs overlap', t => {
   const times = [1_000, 1_200, 1_400];
-  const evidence = evidenceOf(times.map(at => crash(at, ['a'], 900)));
-  t.is(suspicionOf(evidence, 'a'), Suspicion.culprit);
+  for (const key of ['a', 'segment a']) {
+    const evidence = evidenceOf(times.map(at => crash(at, [key], 900)));
+    t.is(suspicionOf(evidence, key), Suspicion.culprit);
+    t.false(assessRequest(evidence, [key]).mayShareCause);
+  }
 });
 
 test('of two that were in the same ends the more specific one is the culprit', t => {
