Suspect sends that were given up before their upstream ended

A request whose callers leave 30 ms after they sent it ended 12 upstreams, 7 sends too late: an upstream that goes on with a request whose connection was closed ends under it, and only requests whose answers broke off were suspects.

A node remembers the sends that it gave up (callers that left, time-outs, streams dropped for a larger model, stalled ones) for a second, and adds them to the suspects of an upstream that ended meanwhile.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -25,6 +25,8 @@
       readonly reason: string;
       /** Whether the upstream was not reached; false if the send was cancelled. */
       readonly unreachable: boolean;
+      /** Whether its address refused the connection. */
+      readonly refused: boolean;
     }
   /** The upstream states that the request did not run. */
   | {readonly kind: 'refused'; readonly answer: UpstreamAnswer}
@@ -122,6 +124,12 @@
   return {kind: 'lost', reason: mismatch};
 }
 
+function isRefusal(error?: Error): boolean {
+  return (
+    error !== undefined && 'code' in error && error.code === 'ECONNREFUSED'
+  );
+}
+
 function isCloseDelimited({headers}: http.IncomingMessage): boolean {
   return (
     headers['content-length'] === undefined &&
@@ -181,7 +189,7 @@
               tooLate: timedOut,
               closedByUpstream: cancelReason === '',
             }
-          : {kind: 'unsent', reason, unreachable},
+          : {kind: 'unsent', reason, unreachable, refused: isRefusal(error)},
       );
     };
     outgoing.once('socket', socket => {
--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -15,6 +15,7 @@
   type Assessment,
   type Crash,
   type CrashEvidence,
+  type Suspect,
 } from '@parsleyarch/policy/crash-evidence';
 import {listRequestKeys, listSegmentKeys} from '@parsleyarch/policy/crash-keys';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
@@ -23,6 +24,13 @@
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 
+/**
+ * Time after this node has closed the connection of a send in which an upstream that
+ * ends may have ended under it; upstreams need not stop at once.
+ */
+const ABANDONED_MS = 1_000;
+/** Number of such sends that are remembered for one upstream. */
+const MAX_ABANDONED_COUNT = 100;
 /** Number of keys whose answers are remembered. */
 const MAX_ANSWERED_COUNT = 2_000;
 
@@ -37,6 +45,13 @@
   readonly changedAt: number;
 }
 
+/** A send that this node gave up before its answer was complete. */
+interface AbandonedSend {
+  readonly keys: readonly string[];
+  readonly startedAt: number;
+  readonly abandonedAt: number;
+}
+
 /** What a node knows of upstreams that ended. */
 export interface Crashes {
   readonly evidence: CrashEvidence;
@@ -44,6 +59,8 @@
   readonly answeredSends: Map<string, number>;
   /** Probes in progress, by incarnation of the upstream. */
   readonly probes: Map<string, Promise<Finding>>;
+  /** Sends whose connections this node has closed, by incarnation of the upstream. */
+  readonly abandoned: Map<string, AbandonedSend[]>;
   /** Digest of the evidence of other nodes at the last exchange, by node. */
   readonly digests: Map<string, number>;
   /** What the store holds of culprits, by key. */
@@ -57,6 +74,7 @@
     evidence: createCrashEvidence(),
     answeredSends: new Map(),
     probes: new Map(),
+    abandoned: new Map(),
     digests: new Map(),
     records: new Map(),
     pendingWrites: new Set(),
@@ -182,11 +200,70 @@
   node.logDecision('suspect cleared', {requestId, keys: cleared, sentAgoMs});
 }
 
+/**
+ * Called when this node gives up a send, as its caller has left or it takes too long.
+ * Its upstream may go on with it and end.
+ */
+export function recordAbandonedSend(
+  node: EntryNode,
+  exchange: Exchange,
+  {registered, startedAt}: Send,
+): void {
+  const {abandoned, evidence} = node.crashes;
+  const key = incarnationKey(registered);
+  const abandonedAt = node.clock();
+  const recent = (abandoned.get(key) ?? []).filter(
+    send => abandonedAt - send.abandonedAt < ABANDONED_MS,
+  );
+  recent.push({keys: listKeys(exchange), startedAt, abandonedAt});
+  // Re-insertion keeps the map in order of use, so old ones are dropped first.
+  abandoned.delete(key);
+  abandoned.set(key, recent.slice(-MAX_ABANDONED_COUNT));
+  for (const [other, sends] of abandoned) {
+    if (abandonedAt - (sends.at(-1)?.abandonedAt ?? 0) < ABANDONED_MS) break;
+    abandoned.delete(other);
+  }
+  const crash = evidence.crashes.get(key);
+  if (crash) addCrash(node, {...crash, suspects: new Map()});
+}
+
+/**
+ * Called when an upstream refuses a connection. It may have ended under sends that
+ * nodes gave up, so that no answer broke off.
+ */
+export async function recordRefusedConnection(
+  node: EntryNode,
+  {registered, startedAt}: Send,
+): Promise<void> {
+  const upstream = incarnationKey(registered);
+  if (node.crashes.evidence.crashes.has(upstream)) return;
+  const finding = await probeOnce(node, registered);
+  if (finding !== Finding.ended) return;
+  addCrash(node, {upstream, at: startedAt, suspects: new Map()});
+}
+
+/** Suspects of a crash among the sends that this node gave up. */
+function listAbandonedSuspects(
+  {crashes: {abandoned}}: EntryNode,
+  {upstream, at}: Crash,
+): Crash['suspects'] {
+  const suspects = new Map<string, Suspect>();
+  for (const {keys, startedAt, abandonedAt} of abandoned.get(upstream) ?? []) {
+    if (startedAt >= at || at - abandonedAt > ABANDONED_MS) continue;
+    for (const [key, suspect] of createSuspects(keys, at - startedAt))
+      suspects.set(key, suspect);
+  }
+  return suspects;
+}
+
 /** Adds a crash, and clears the suspects that this node knows to be sound. */
 function addCrash(node: EntryNode, crash: Crash): void {
   const {evidence, answeredSends} = node.crashes;
+  const {upstream, at} = crash;
   mergeCrash(evidence, crash);
-  for (const key of crash.suspects.keys()) {
+  const suspects = listAbandonedSuspects(node, crash);
+  if (suspects.size > 0) mergeCrash(evidence, {upstream, at, suspects});
+  for (const key of [...crash.suspects.keys(), ...suspects.keys()]) {
     const sentAt = answeredSends.get(key);
     if (sentAt !== undefined) clear(node, [key], sentAt);
   }
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -17,7 +17,7 @@
 import {chooseLargerModel, recordConfidenceGain} from './models.js';
 import type {EntryNode} from './node.js';
 import {delegate, selectDelegate} from './delegation.js';
-import {recordBrokenAnswer} from './crashes.js';
+import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
 import {claimTrial, findRefusalMs, recordSurvival} from './culprits.js';
 import {isCutOff} from './reachability.js';
 import {readAnswerBody} from './relay.js';
@@ -150,6 +150,7 @@
   if (larger === undefined)
     return handleStream(node, exchange, progress, answer, body);
   body.message.destroy();
+  recordAbandonedSend(node, exchange, body.send);
   recordDroppedStream(node, exchange, body);
   progress.discarded = {model, confidence};
   progress.model = larger;
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -2,7 +2,7 @@
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
-import {recordBrokenAnswer} from './crashes.js';
+import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
 import {recordSurvival} from './culprits.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
@@ -161,6 +161,8 @@
       recordAnswer(node, exchange, answer.status, 'stream complete');
       return true;
     }
+    if (exchange.ended || end === StreamEnd.abandoned)
+      recordAbandonedSend(node, exchange, body.send);
     if (exchange.ended) return true;
     node.logDecision('stream broken', {
       requestId: caller.attemptId,
--- a/apps/router/test/entry/fatal-requests.test.ts
+++ b/apps/router/test/entry/fatal-requests.test.ts
@@ -13,12 +13,12 @@
   startNode,
   startSite,
   until,
+  type Call,
   type Site,
 } from './site.js';
 
 /** Time from the end of an upstream to its next start. */
 const RESTART_MS = 3_000;
-/** Time from the start of a run to the end of its upstream. */
 const RUN_MS = 60;
 /** Time after the third end from which sends count. */
 const CONTACT_MS = 3_000;
@@ -45,6 +45,8 @@
   /** Whether upstreams of another service run beside these. */
   readonly otherService?: boolean;
   readonly isFatal?: (request: ReceivedRequest) => boolean;
+  /** Time from the start of a run to the end of its upstream. */
+  readonly runMs?: number;
 }
 
 interface Load {
@@ -56,7 +58,12 @@
 
 async function startLoad(
   t: ExecutionContext,
-  {upstreams: count, otherService = true, isFatal = isOfFatalPath}: Options,
+  {
+    upstreams: count,
+    otherService = true,
+    isFatal = isOfFatalPath,
+    runMs = RUN_MS,
+  }: Options,
 ): Promise<Load> {
   const site = await startSite(0);
   t.teardown(() => closeSite(site));
@@ -68,7 +75,7 @@
     site.runners.push(other);
   }
   const upstreams = await startCrashingUpstreams(site, count, isFatal, {
-    prefillMs: () => RUN_MS,
+    prefillMs: () => runMs,
     restartMs: RESTART_MS,
   });
   const known = count + Number(otherService);
@@ -83,9 +90,16 @@
   return {site, upstreams};
 }
 
-function sendTo({site}: Load, index: number, path: string, key = 'k1') {
+function sendTo(
+  {site}: Load,
+  index: number,
+  path: string,
+  key = 'k1',
+  fields: Call = {},
+) {
   const headers = {authorization: `Bearer ${key}`};
-  return call(site.entries[index % site.entries.length], {path, headers});
+  const entry = site.entries[index % site.entries.length];
+  return call(entry, {...fields, path, headers});
 }
 
 /** Sends one request again and again, each time to the next node. */
@@ -94,10 +108,11 @@
   intervalMs: number,
   durationMs: number,
   currentKey = () => 'k1',
+  fields: Call = {},
 ): Promise<void> {
   const until = performance.now() + durationMs;
   for (let sent = 0; performance.now() < until; sent += 1) {
-    void sendTo(load, sent, '/a/fatal', currentKey());
+    void sendTo(load, sent, '/a/fatal', currentKey(), fields);
     await wait(intervalMs);
   }
 }
@@ -212,6 +227,32 @@
   },
 );
 
+test.serial(
+  'a request whose sends the router gives up before their upstreams end is refused after the third end',
+  async t => {
+    const load = await startLoad(t, {upstreams: 3, runMs: 200});
+    const [{node}] = load.site.entries;
+    configure(load.site, [route({goal_ms: 200})], {
+      tenants: [{name: 'one', api_keys: ['k1']}],
+    });
+    await until(() => node.routes?.table.routes[0].objectiveMs === 200);
+    await repeat(load, 250, 11_000);
+    assertBounded(t, load);
+  },
+);
+
+test.serial(
+  'a request whose callers leave before its upstreams end is refused after the third end',
+  async t => {
+    const load = await startLoad(t, {upstreams: 3});
+    const leave: Call = {
+      onSent: sent => void setTimeout(() => sent.destroy(), RUN_MS / 2),
+    };
+    await repeat(load, 250, 11_000, () => 'k1', leave);
+    assertBounded(t, load);
+  },
+);
+
 test.serial(
   'sound requests are served beside a request that turns fatal for their upstreams',
   async t => {
