Keep the last upstream from a request that has ended two

Callers of a service were served by nobody for 3 s while a request ended all of its upstreams within 250 ms: the third send came before the report of the first two ends, 100 to 400 ms later, and nodes that had not met an end themselves went on to count on the upstream.

Nodes rank an upstream that ended last, whoever met the end, and send such a request to none while only one is up.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -20,10 +20,13 @@
 import {listRequestKeys, listSegmentKeys} from '@parsleyarch/policy/crash-keys';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import type {Send} from './attempt.js';
+import {announceCrashes} from './crash-announcements.js';
 import {Finding, findEnd} from './end-probes.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 
+/** Time for which an upstream that ended is ranked last: until its entry has lapsed. */
+const ENDED_BACKOFF_MS = 5_000;
 /**
  * Time after this node has closed the connection of a send in which an upstream that
  * ends may have ended under it; upstreams need not stop at once.
@@ -144,6 +147,8 @@
     ends: assessExchange(node, exchange).endCount,
     promptSegments: caller.promptSegments.map(({id}) => id),
   });
+  if (assessExchange(node, exchange).suspicion !== Suspicion.none)
+    void announceCrashes(node, reportCrashesOf(node, exchange));
 }
 
 /** Keys of a request in the evidence on crashes, the most specific first. */
@@ -256,11 +261,21 @@
   return suspects;
 }
 
+/** Ranks an upstream that ended last, as after a failed connection of this node. */
+function rankLast(node: EntryNode, {upstream, at}: Crash): void {
+  const state = node.upstreams.get(
+    upstream.slice(0, upstream.lastIndexOf('@')),
+  );
+  if (!state || incarnationKey(state.registered) !== upstream) return;
+  state.backoffUntil = Math.max(state.backoffUntil, at + ENDED_BACKOFF_MS);
+}
+
 /** Adds a crash, and clears the suspects that this node knows to be sound. */
 function addCrash(node: EntryNode, crash: Crash): void {
   const {evidence, answeredSends} = node.crashes;
   const {upstream, at} = crash;
   mergeCrash(evidence, crash);
+  rankLast(node, crash);
   const suspects = listAbandonedSuspects(node, crash);
   if (suspects.size > 0) mergeCrash(evidence, {upstream, at, suspects});
   for (const key of [...crash.suspects.keys(), ...suspects.keys()]) {
@@ -305,6 +320,14 @@
   return culprits;
 }
 
+function encodeCrash({upstream, at, suspects}: Crash, now: number) {
+  return {
+    upstream,
+    ageMs: now - at,
+    suspects: [...suspects].map(([key, suspect]) => ({key, ...suspect})),
+  };
+}
+
 /** Reports what this node knows of crashes, unless the receiver knows the same. */
 export function reportCrashes(
   {crashes: {evidence}, clock}: EntryNode,
@@ -314,14 +337,24 @@
   dropOldCrashes(evidence, now);
   const crashDigest = evidence.digest;
   if (crashDigest === knownDigest) return {crashDigest, crashes: []};
-  const crashes = [...evidence.crashes.values()].map(
-    ({upstream, at, suspects}) => ({
-      upstream,
-      ageMs: now - at,
-      suspects: [...suspects].map(([key, suspect]) => ({key, ...suspect})),
-    }),
+  const crashes = [...evidence.crashes.values()];
+  return {crashDigest, crashes: crashes.map(crash => encodeCrash(crash, now))};
+}
+
+/** Reports the crashes in which a request was not cleared. */
+export function reportCrashesOf(
+  {crashes: {evidence}, clock}: EntryNode,
+  exchange: Exchange,
+): CrashReport {
+  const now = clock();
+  const keys = listKeys(exchange);
+  const crashes = [...evidence.crashes.values()].filter(({suspects}) =>
+    keys.some(key => suspects.get(key)?.cleared === false),
   );
-  return {crashDigest, crashes};
+  return {
+    crashDigest: evidence.digest,
+    crashes: crashes.map(crash => encodeCrash(crash, now)),
+  };
 }
 
 /** Adds what another node knows of crashes. */
--- a/apps/router/src/entry/directory.ts
+++ b/apps/router/src/entry/directory.ts
@@ -177,6 +177,7 @@
     known.registered.incarnation !== registered.incarnation;
   if (reborn) {
     state.failures = [];
+    state.backoffUntil = 0;
     state.load = undefined;
   }
   state.registered = registered;
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -8,12 +8,13 @@
 import {hasGroups} from '@parsleyarch/policy/load-sharing';
 import {expectCached} from '@parsleyarch/policy/prompt-affinity';
 import {Suspicion} from '@parsleyarch/policy/crash-evidence';
+import {isSharedKey} from '@parsleyarch/policy/crash-keys';
 import {hashName, listFirstMembers} from '@parsleyarch/policy/rendezvous';
 import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
 import type {PooledService} from '@parsleyarch/resource/routing';
 import {assessExchange} from './crashes.js';
 import type {Exchange} from './exchange.js';
-import {findExclusion} from './exclusions.js';
+import {countUsableUpstreams, findExclusion} from './exclusions.js';
 import {workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {
@@ -196,7 +197,8 @@
 
 /**
  * Limits a request that may end its upstream to one upstream, the same one on all
- * nodes, so that requests like it do not end several before they are refused.
+ * nodes, so that requests like it do not end several before they are refused. The last
+ * upstream that is up is left to other requests.
  */
 function isolateSuspect(
   node: EntryNode,
@@ -206,6 +208,8 @@
   const {suspicion, key} = assessExchange(node, exchange);
   if (suspicion === Suspicion.none) return usable;
   const sound = usable.filter(state => isSound(node, state));
+  const {usable: upCount, registered} = countUsableUpstreams(node, exchange);
+  if (!isSharedKey(key) && registered > 1 && upCount < 2) return [];
   const isolated = listFirstMembers(hashName(key), sound, 1);
   return isolated.length > 0 ? isolated : usable;
 }
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -5,6 +5,7 @@
 import {closePeerServer, listenForPeers} from '@parsleyarch/peer/server';
 import {closeKeyspace} from '@parsleyarch/store/keyspace';
 import type {Server} from 'node:http';
+import {mergeCrashes} from './crashes.js';
 import {operatorSubscriber, upstreamSubscriber} from './directory.js';
 import {serveFollower} from './feed.js';
 import {followStore} from './follow.js';
@@ -81,6 +82,10 @@
       consult: consultation => answerConsultation(node, consultation),
       shareLoad: report => collectLoad(node, report),
       followChanges: request => serveFollower(node, request),
+      announceCrashes: report => {
+        mergeCrashes(node, report);
+        return {};
+      },
       probeUpstream: probed => probeForPeer(node, probed),
     });
     registerResource(node.manager, 'peer-listener', () =>
--- a/apps/router/src/peering.ts
+++ b/apps/router/src/peering.ts
@@ -16,7 +16,11 @@
   node: RouterNode,
 ): Omit<
   PeerHandlers,
-  'consult' | 'shareLoad' | 'followChanges' | 'probeUpstream'
+  | 'consult'
+  | 'shareLoad'
+  | 'followChanges'
+  | 'announceCrashes'
+  | 'probeUpstream'
 > {
   return {
     beats: () => ({beats: listHeartbeats(node)}),
--- a/apps/router/test/entry/fatal-requests.test.ts
+++ b/apps/router/test/entry/fatal-requests.test.ts
@@ -253,6 +253,25 @@
   },
 );
 
+test.serial(
+  'sound requests find an upstream while a request ends the others',
+  async t => {
+    const load = await startLoad(t, {upstreams: 3});
+    const sound: Promise<{status: number}>[] = [];
+    const sendSound = async () => {
+      for (let sent = 0; sent < 80; sent += 1) {
+        sound.push(sendTo(load, sent, `/a/sound-${sent}`));
+        await wait(100);
+      }
+    };
+    await Promise.all([repeat(load, 250, 8_000), sendSound()]);
+    const answers = await Promise.all(sound);
+    const served = answers.filter(({status}) => status === 200).length;
+    t.log(`${served} of ${answers.length} sound requests were served`);
+    t.true(served >= answers.length * MIN_SERVED_RATIO);
+  },
+);
+
 test.serial(
   'sound requests are served beside a request that turns fatal for their upstreams',
   async t => {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -296,6 +296,7 @@
   consult: [Consultation, Advice];
   shareLoad: [LoadReport, LoadSummary];
   followChanges: [ChangesAfter, Changes];
+  announceCrashes: [CrashReport, Ack];
   probeUpstream: [ProbedUpstream, ProbeAnswer];
 }
 
