Record a culprit in the store although nobody sends it again

A request that had ended three upstreams, and came again only after ten minutes, was no longer known: records were written when such a request was refused, and what nodes know of ends lapses after ten minutes. Found by the bound written down as a property: nodes with delayed reports, upstreams that start again, new nodes, answers before, and hours between arrivals; four sends followed the third end where three may.

A node writes the record a second after the third end; the first in rendezvous order does, the next ones follow a second apart should it not. The new test of the store fails before.

--- a/apps/router/src/entry/culprits.ts
+++ b/apps/router/src/entry/culprits.ts
@@ -4,10 +4,15 @@
  * number of its trials; a node claims a trial by a conditional write, so that all
  * nodes together make no more than one at a time. Answers of trials remove the record.
  */
-import {wait} from '@parsleyarch/lifecycle/process';
+import {registerResource} from '@parsleyarch/lifecycle/manager';
+import {repeat, wait} from '@parsleyarch/lifecycle/process';
 import {STORE_KEY} from '@parsleyarch/platform/names';
-import type {Assessment} from '@parsleyarch/policy/crash-evidence';
+import {
+  listAllCulprits,
+  type Assessment,
+} from '@parsleyarch/policy/crash-evidence';
 import {Doubt, nextTrialAt} from '@parsleyarch/policy/crash-trials';
+import {hashName, rankMember} from '@parsleyarch/policy/rendezvous';
 import {commitTransaction, type StoredItem} from '@parsleyarch/store/keyspace';
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
@@ -28,9 +33,10 @@
 const MAX_CRASHES_OF_REQUEST = 2;
 /**
  * Age of the latest end from which a culprit is recorded in the store. Answers that are
- * under way may still clear it.
+ * under way may still clear it. Nodes that rank after the first one wait for it.
  */
 const RECORD_DELAY_MS = 1_000;
+const RECORD_INTERVAL_MS = 250;
 /** Number of records in the store; the oldest ones are removed. */
 const MAX_RECORD_COUNT = 200;
 /** Time for which requests may wait for the result of a trial that has begun. */
@@ -260,22 +266,32 @@
     trials: node.crashes.records.get(key)?.trialCount ?? 0,
     lastEndAgoMs: Math.round(node.clock() - lastEndAt),
   });
-  if (isTrial) return undefined;
-  recordCulprits(node, culprits);
-  return 'requests like it end upstreams';
+  return isTrial ? undefined : 'requests like it end upstreams';
 }
 
-/** Records culprits in the store that are not recorded yet. */
-function recordCulprits(
-  node: EntryNode,
-  culprits: readonly Assessment[],
-): void {
-  const oldest = node.clock() - RECORD_DELAY_MS;
-  for (const {key, lastEndAt} of culprits) {
-    if (lastEndAt < oldest) void writeRecords(node, [key], 0);
+/** Records culprits in the store that the nodes that rank before have not recorded. */
+async function recordCulprits(node: EntryNode): Promise<void> {
+  const {evidence, records} = node.crashes;
+  const now = node.clock();
+  for (const {key, lastEndAt} of listAllCulprits(evidence)) {
+    if (records.get(key)?.revision) continue;
+    const rank = rankMember(hashName(key), node, node.members.values());
+    if (now - lastEndAt < RECORD_DELAY_MS * (1 + rank)) continue;
+    await writeRecords(node, [key], 0);
   }
 }
 
+/** Keeps the culprits that this node knows of recorded in the store. */
+export function keepCulpritsRecorded(node: EntryNode): void {
+  const running = repeat(
+    RECORD_INTERVAL_MS,
+    () => recordCulprits(node),
+    error =>
+      node.log.error({error: String(error)}, 'recording culprits failed'),
+  );
+  registerResource(node.manager, 'culprits', () => void running.end());
+}
+
 /** Time until a request that is refused as a culprit may be tried, milliseconds. */
 export function findRefusalMs(
   node: EntryNode,
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -6,6 +6,7 @@
 import {closeKeyspace} from '@parsleyarch/store/keyspace';
 import type {Server} from 'node:http';
 import {mergeCrashes} from './crashes.js';
+import {keepCulpritsRecorded} from './culprits.js';
 import {operatorSubscriber, upstreamSubscriber} from './directory.js';
 import {serveFollower} from './feed.js';
 import {followStore} from './follow.js';
@@ -123,6 +124,7 @@
   runRollouts(node);
   shareLoads(node);
   probeWhileCutOff(node);
+  keepCulpritsRecorded(node);
   // Registered last, hence stopped first: requests end before anything else.
   registerResource(manager, 'callers', () =>
     drain(node, [ingress, delegation]),
--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -90,6 +90,20 @@
   t.is(upstreams.received.length, before);
 });
 
+test('a request that ends its upstreams is recorded in the store although nobody sends it again', async t => {
+  const site = await startNodes(t, 3);
+  const upstreams = await startCrashingUpstreams(site, 6, () => true);
+  await until(() => site.entries[0].node.upstreams.size === 6);
+  for (let sent = 0; upstreams.ended.length < 3 && sent < 20; sent += 1)
+    await send(site, sent, 'fatal');
+  const isRecorded = () =>
+    [...site.store.items.keys()].some(key =>
+      key.startsWith('router/culprits/'),
+    );
+  await until(isRecorded);
+  t.true(isRecorded());
+});
+
 test('requests are served again after all upstreams ended under them at once', async t => {
   const site = await startNodes(t, 2);
   const upstreams = await startCrashingUpstreams(site, 4, () => false);
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -294,6 +294,11 @@
   return assessments;
 }
 
+/** Assessments of all culprits. */
+export function listAllCulprits(evidence: CrashEvidence): Assessment[] {
+  return evidence.crashes.size > 0 ? [...findCulprits(evidence).values()] : [];
+}
+
 /** Assessments of those keys of a request that are culprits, in their order. */
 export function listCulprits(
   evidence: CrashEvidence,
