--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -187,11 +187,11 @@
     if (answeredSends.size <= MAX_ANSWERED_COUNT) break;
     answeredSends.delete(key);
   }
-  clear(node, keys, sentAt, exchange.caller.attemptId);
+  clearSuspectsOf(node, keys, sentAt, exchange.caller.attemptId);
 }
 
 /** Clears suspects of the crashes before a send that was answered. */
-export function clear(
+export function clearSuspectsOf(
   node: EntryNode,
   keys: readonly string[],
   sentAt: number,
@@ -280,7 +280,7 @@
   if (suspects.size > 0) mergeCrash(evidence, {upstream, at, suspects});
   for (const key of [...crash.suspects.keys(), ...suspects.keys()]) {
     const sentAt = answeredSends.get(key);
-    if (sentAt !== undefined) clear(node, [key], sentAt);
+    if (sentAt !== undefined) clearSuspectsOf(node, [key], sentAt);
   }
 }
 
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -18,7 +18,11 @@
 } from '@parsleyarch/store/keyspace';
 import {randomBytes} from 'node:crypto';
 import {z} from 'zod';
-import {applyCulprit, CULPRITS_PREFIX, resetCulprits} from './culprits.js';
+import {
+  applyCulprit,
+  CULPRITS_PREFIX,
+  resetCulprits,
+} from './culprit-records.js';
 import type {Subscriber} from './feed.js';
 import {applyHolderChange, isHolderKey, PLAN_KEY_PREFIX} from './holder.js';
 import type {EntryNode} from './node.js';
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -6,7 +6,7 @@
 import {closeKeyspace} from '@parsleyarch/store/keyspace';
 import type {Server} from 'node:http';
 import {mergeCrashes} from './crashes.js';
-import {keepCulpritsRecorded} from './culprits.js';
+import {keepCulpritsRecorded} from './culprit-records.js';
 import {operatorSubscriber, upstreamSubscriber} from './directory.js';
 import {serveFollower} from './feed.js';
 import {followStore} from './follow.js';
