Rank an upstream last only when its end becomes known

A request was refused although upstreams were back: one that came back with the id and incarnation that it had before was ranked last again by each report of its end, for five seconds, so that no trial found two upstreams up. An end now ranks its upstream last once, and not if this node has connected to it since.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -267,6 +267,7 @@
     upstream.slice(0, upstream.lastIndexOf('@')),
   );
   if (!state || incarnationKey(state.registered) !== upstream) return;
+  if (state.connectedAt > at) return;
   state.backoffUntil = Math.max(state.backoffUntil, at + ENDED_BACKOFF_MS);
 }
 
@@ -274,8 +275,9 @@
 function addCrash(node: EntryNode, crash: Crash): void {
   const {evidence, answeredSends} = node.crashes;
   const {upstream, at} = crash;
+  // One that starts again with the id and incarnation that it had is not ranked last.
+  if (!evidence.crashes.has(upstream)) rankLast(node, crash);
   mergeCrash(evidence, crash);
-  rankLast(node, crash);
   const suspects = listAbandonedSuspects(node, crash);
   if (suspects.size > 0) mergeCrash(evidence, {upstream, at, suspects});
   for (const key of [...crash.suspects.keys(), ...suspects.keys()]) {
