--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -1,6 +1,7 @@
 /** Tests of requests that end every upstream which runs them. */
 import test, {type ExecutionContext} from 'ava';
-import type {ReceivedRequest} from '@parsleyarch/standins/runner';
+import {startRunner, type ReceivedRequest} from '@parsleyarch/standins/runner';
+import {mergeCrashes} from '@parsleyarch/router/entry/crashes';
 import {startCrashingUpstreams} from './crashing.js';
 import {
   call,
@@ -124,6 +125,25 @@
     t.is((await send(site, index, 'sound')).status, 200);
 });
 
+test('an upstream that comes back with its id is not ranked last by later reports of its end', async t => {
+  const site = await startNodes(t, 1);
+  const [{node}] = site.entries;
+  const runner = await startRunner(site.store, 'i-0');
+  site.runners.push(runner);
+  runner.register();
+  await until(() => node.upstreams.has('i-0'));
+  const crash = {upstream: 'i-0@1', ageMs: 10, suspects: []};
+  const report = {crashDigest: 0, crashes: [crash]};
+  mergeCrashes(node, report);
+  t.true(node.upstreams.get('i-0')!.backoffUntil > node.clock());
+  runner.deregister();
+  await until(() => !node.upstreams.has('i-0'));
+  runner.register();
+  await until(() => node.upstreams.has('i-0'));
+  mergeCrashes(node, report);
+  t.true(node.upstreams.get('i-0')!.backoffUntil <= node.clock());
+});
+
 test('a closed connection of an upstream that goes on serving makes no suspect', async t => {
   const site = await startNodes(t, 1);
   await startCrashingUpstreams(site, 2, () => false);
