--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -3,11 +3,11 @@
  * have in common: a segment of their prompts. All requests that an upstream served
  * when it ended are suspects, with their segments, on whichever node they were. A
  * suspect that is answered when sent again is cleared; one that was in several ends and
- * in no such answer since is a culprit, and is refused for some time. Of suspects that were in nearly
- * the same ends the most specific one is the culprit. Evidence of several
- * nodes merges in any order to the same state: a crash is counted once for an
- * incarnation of an upstream. Meant for any load; its size grows with crashes, not
- * with requests or nodes.
+ * in no such answer since is a culprit, and is refused (see `crash-trials.ts`). Of
+ * suspects that were in nearly the same ends the most specific one is the culprit.
+ * Evidence of several nodes merges in any order to the same state: a crash is counted
+ * once for an incarnation of an upstream. Meant for any load; its size grows with
+ * crashes, not with requests or nodes.
  */
 import {isSharedKey, subjectOf} from './crash-keys.js';
 import {hashName} from './rendezvous.js';
@@ -72,12 +72,13 @@
   runMs: number,
 ): Map<string, Suspect> {
   const shared = keys.filter(isSharedKey);
+  const specificityOf = (key: string) =>
+    isSharedKey(key) ? shared.length - shared.indexOf(key) : shared.length + 1;
   return new Map(
-    keys.map(key => {
-      const index = isSharedKey(key) ? shared.indexOf(key) : -1;
-      const specificity = shared.length - index;
-      return [key, {runMs, specificity, cleared: false}];
-    }),
+    keys.map(key => [
+      key,
+      {runMs, specificity: specificityOf(key), cleared: false},
+    ]),
   );
 }
 
