Log each failed call to the store and how long a node waits after it

The lines could not tell a wait that outlives a disruption from a connection that is silent: no line said that a call failed, or for how long a source was skipped.

--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -122,6 +122,12 @@
   if (confirmationAge(node) > node.settings.configuration.applyMs)
     updateStoreLost(node, true, reason);
   const maxRetryMs = isWatcher(node) ? MAX_RETRY_MS : MAX_FOLLOWER_RETRY_MS;
+  node.logDecision('store call', {
+    outcome: 'failed',
+    reason,
+    retryMs: following.retryMs,
+    confirmationAgeMs: Math.round(confirmationAge(node)),
+  });
   following.retryAt = node.clock() + following.retryMs;
   following.retryMs = Math.min(maxRetryMs, following.retryMs * 2);
 }
@@ -223,7 +229,13 @@
 ): void {
   const {skipped} = node.following;
   skipped.set(source, {until: node.clock() + skipMs, skipMs});
-  node.logDecision('source', {choice: 'pass over', source, reason});
+  node.logDecision('source', {
+    choice: 'pass over',
+    source,
+    reason,
+    skipMs,
+    confirmationAgeMs: Math.round(confirmationAge(node)),
+  });
 }
 
 /**
