Show that changes are in force too late at nodes whose paths return

Nine nodes whose links to the store and to each other run through proxies, which can now drop the bytes of a direction or make open connections silent.

A test process takes a further block of ports once its first one is used up; five sites of nine nodes took ports of each other.

--- /dev/null
+++ b/apps/router/test/entry/regained-contact.test.ts
@@ -0,0 +1,104 @@
+/** Tests of nodes that reach the store and other nodes again after a disruption. */
+import {
+  BOTH_DIRECTIONS,
+  type Direction,
+  type FaultProxy,
+} from '@parsleyarch/standins/proxy';
+import test, {type ExecutionContext} from 'ava';
+import '../exit.js';
+import {startChanges} from './changes.js';
+import {
+  linksOf,
+  peerLinksOf,
+  startLinkedSite,
+  type LinkedNode,
+  type LinkedSite,
+} from './links.js';
+
+const DOMAIN_COUNT = 3;
+const NODE_COUNT = 9;
+/** Time for which changes are checked after the last disruption, milliseconds. */
+const CHECKED_MS = 6_000;
+/** Time between the cuts of two nodes, so that their calls are out of phase. */
+const CUT_INTERVAL_MS = 300;
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+type Run = (
+  linked: LinkedSite,
+  changes: ReturnType<typeof startChanges>,
+) => Promise<void>;
+
+/** Runs disruptions beside changes, and checks that no change is late. */
+async function checkChanges(t: ExecutionContext, run: Run): Promise<void> {
+  const linked = await startLinkedSite(t, DOMAIN_COUNT, NODE_COUNT);
+  const changes = startChanges(linked);
+  await run(linked, changes);
+  await wait(CHECKED_MS);
+  const late = changes.stop();
+  t.log(late);
+  t.deepEqual(late, []);
+}
+
+/**
+ * Cuts nodes one after the other from the store and from all nodes; all paths return
+ * at the same time.
+ */
+function cutNodes(
+  select: (nodes: readonly LinkedNode[]) => readonly LinkedNode[],
+  cutMs: number,
+  directions: readonly Direction[] = BOTH_DIRECTIONS,
+): Run {
+  return async (linked, changes) => {
+    const cut = select(linked.nodes);
+    const links = new Set<FaultProxy>();
+    for (const node of cut) {
+      changes.lose(node);
+      for (const link of linksOf(linked, node)) {
+        links.add(link);
+        link.drop(directions);
+      }
+      await wait(CUT_INTERVAL_MS);
+    }
+    await wait(cutMs);
+    for (const link of links) link.drop([]);
+    for (const node of cut) changes.regain(node);
+  };
+}
+
+test('changes are in force in time at followers that had no path for 10 to 12 s', t =>
+  checkChanges(
+    t,
+    cutNodes(nodes => nodes.slice(3), 10_000),
+  ));
+
+test('changes are in force in time after all nodes had no path for 6 s', t =>
+  checkChanges(
+    t,
+    cutNodes(nodes => nodes, 6_000),
+  ));
+
+test('changes are in force in time at nodes that got no answers for 7 s', t =>
+  checkChanges(
+    t,
+    cutNodes(nodes => nodes.slice(2), 7_000, ['from server']),
+  ));
+
+test('changes are in force in time after all open connections fell silent', t =>
+  checkChanges(t, async (linked, changes) => {
+    await wait(1_000);
+    for (const node of linked.nodes) changes.lose(node);
+    for (const node of linked.nodes) {
+      for (const link of linksOf(linked, node)) link.silenceOpen();
+      changes.regain(node);
+    }
+  }));
+
+test('changes are in force in time at nodes that reach the store only', t =>
+  checkChanges(t, async linked => {
+    const cut = linked.nodes.slice(4);
+    const links = cut.flatMap(node => peerLinksOf(linked, node));
+    for (const link of links) link.drop(BOTH_DIRECTIONS);
+    await wait(5_000);
+    for (const link of links) link.drop([]);
+  }));
--- a/apps/standins/src/cluster.ts
+++ b/apps/standins/src/cluster.ts
@@ -94,13 +94,13 @@
   throw new Error('all blocks of ports are in use');
 }
 
-/** Finds a free port in the block of this process. */
+/** Finds a free port in the blocks of this process; never the same one again. */
 export async function freePort(): Promise<number> {
-  claimedBlock ??= claimBlock();
-  const first = await claimedBlock;
   for (;;) {
-    const port = first + (allocatedPortCount % (PORTS_PER_BLOCK - 1));
+    const offset = allocatedPortCount % (PORTS_PER_BLOCK - 1);
+    if (offset === 0) claimedBlock = claimBlock();
     allocatedPortCount += 1;
+    const port = (await claimedBlock!) + offset;
     const server = await tryListen(port);
     if (!server) continue;
     await new Promise(resolve => server.close(resolve));
--- a/apps/standins/src/proxy.ts
+++ b/apps/standins/src/proxy.ts
@@ -15,6 +15,13 @@
   readonly duplicateResponse?: boolean;
 }
 
+/** A direction of a connection through a proxy. */
+export type Direction = 'to server' | 'from server';
+export const BOTH_DIRECTIONS: readonly Direction[] = [
+  'to server',
+  'from server',
+];
+
 export interface FaultProxy {
   readonly port: number;
   readonly address: string;
@@ -26,22 +33,36 @@
   partition(on: boolean): void;
   /** Pauses or resumes forwarding; connections stay open. */
   freeze(on: boolean): void;
+  /**
+   * Drops the bytes of some directions, until it is called without any. A connection
+   * that has lost bytes stays silent in that direction, and is never closed.
+   */
+  drop(directions: readonly Direction[]): void;
+  /** Makes the open connections silent for good; new ones work. */
+  silenceOpen(): void;
   /** Stops or starts listening; open connections are not affected. */
   refuse(on: boolean): Promise<void>;
   close(): Promise<void>;
 }
 
+/** One direction of a connection. */
+interface Flow {
+  readonly from: net.Socket;
+  readonly to: net.Socket;
+  readonly cutAt?: number;
+  readonly duplicate?: boolean;
+  /** Whether a chunk is dropped. */
+  readonly isDropped: () => boolean;
+}
+
 function forward(
-  from: net.Socket,
-  to: net.Socket,
+  {from, to, cutAt, duplicate, isDropped}: Flow,
   fault: ProxyFault,
-  cutAt: number | undefined,
-  duplicate: boolean,
   counter: {bytes: number},
 ): void {
   let forwardedBytes = 0;
   from.on('data', chunk => {
-    if (fault.blackHole) return;
+    if (fault.blackHole || isDropped()) return;
     const send = () => {
       const remaining =
         cutAt === undefined ? chunk.length : cutAt - forwardedBytes;
@@ -59,8 +80,12 @@
     else send();
   });
   // Delayed chunks are written before the other side is closed.
-  from.on('close', () => setTimeout(() => to.destroy(), fault.delayMs ?? 0));
-  from.on('error', () => to.destroy());
+  from.on('close', () => {
+    if (!isDropped()) setTimeout(() => to.destroy(), fault.delayMs ?? 0);
+  });
+  from.on('error', () => {
+    if (!isDropped()) to.destroy();
+  });
 }
 
 /** Starts a proxy that forwards to a port on loopback. */
@@ -68,6 +93,8 @@
   const sockets = new Set<net.Socket>();
   let partitioned = false;
   let connectionCount = 0;
+  let dropped: readonly Direction[] = [];
+  const silenced = new Set<Set<Direction>>();
   const forwarded = {bytes: 0};
   const server = net.createServer(client => {
     if (partitioned) {
@@ -81,13 +108,32 @@
       sockets.add(socket);
       socket.on('close', () => sockets.delete(socket));
     }
-    forward(client, upstream, fault, fault.cutUpAt, false, forwarded);
+    const silent = new Set<Direction>();
+    silenced.add(silent);
+    client.on('close', () => silenced.delete(silent));
+    const isDropped = (direction: Direction) => () => {
+      if (dropped.includes(direction)) silent.add(direction);
+      return silent.has(direction);
+    };
     forward(
-      upstream,
-      client,
+      {
+        from: client,
+        to: upstream,
+        cutAt: fault.cutUpAt,
+        isDropped: isDropped('to server'),
+      },
+      fault,
+      forwarded,
+    );
+    forward(
+      {
+        from: upstream,
+        to: client,
+        cutAt: fault.cutDownAt,
+        duplicate: fault.duplicateResponse,
+        isDropped: isDropped('from server'),
+      },
       fault,
-      fault.cutDownAt,
-      fault.duplicateResponse ?? false,
       forwarded,
     );
   });
@@ -111,6 +157,14 @@
         else socket.resume();
       }
     },
+    drop(directions) {
+      dropped = directions;
+    },
+    silenceOpen() {
+      for (const silent of silenced) {
+        for (const direction of BOTH_DIRECTIONS) silent.add(direction);
+      }
+    },
     async refuse(on) {
       if (on) server.close();
       else
