Close idle connections to the store when one got no answer in time

Callers saw 503 for longer than needed, or an older configuration: when all open connections to the store fall silent for good, the calls after the first one took the other pooled connections, one after the other, each until its time limit of 1 to 1.5 s.

--- a/packages/store/src/http.ts
+++ b/packages/store/src/http.ts
@@ -40,6 +40,16 @@
   };
 }
 
+/**
+ * Closes the idle connections. One that got no answer in time may have fallen silent
+ * for good, and then the others have most likely done so too.
+ */
+function closeIdleConnections({freeSockets}: http.Agent): void {
+  for (const sockets of Object.values(freeSockets)) {
+    for (const socket of [...(sockets ?? [])]) socket.destroy();
+  }
+}
+
 /**
  * Sends a call and waits for the complete answer. Rejects if none arrives in time
  * or it is not JSON; the call may have been applied all the same.
@@ -79,11 +89,10 @@
         });
       },
     );
-    const timer = setTimeout(
-      () =>
-        request.destroy(new Error(`no complete answer within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
+    const timer = setTimeout(() => {
+      request.destroy(new Error(`no complete answer within ${timeoutMs} ms`));
+      closeIdleConnections(agent);
+    }, timeoutMs);
     request.on('close', () => clearTimeout(timer));
     request.on('error', reject);
     request.end(payload);
