Bound each wait of a node that has lost contact by the time it has to regain it

Cause: a node that had neither the store nor other nodes for some seconds tried one way after the other, each with a backoff of its own, up to 8 s for a source and 5 s for the store; when the paths came back, nothing ended the waits. The class of fault: a backoff that outlives the fault, chosen step by step where the whole has a limit.

Now the store and the other nodes are tried by two tasks that do not wait for each other.

--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -22,7 +22,8 @@
 import {totalWork} from '@parsleyarch/policy/work';
 import {mergeCrashes, reportCrashes} from './crashes.js';
 import {reportConfirmation} from './feed.js';
-import {applyConfirmation, leaveSource} from './follow.js';
+import {recordPeerAnswer} from './following.js';
+import {applyConfirmation, leaveSource} from './sources.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {listLeaving, recordLeaving} from './notices.js';
 import {reportCutOff} from './reachability.js';
@@ -245,6 +246,7 @@
     SHARE_TIMEOUT_MS,
   );
   if (summary.isOk()) {
+    recordPeerAnswer(node);
     applyConfirmation(node, summary.value, sentAt);
     recordLeaving(node, summary.value.leaving);
     recordRelayedStatements(node, summary.value.statements);
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -34,7 +34,7 @@
 import {createCrashes, type Crashes} from './crashes.js';
 import type {Delegates} from './delegation.js';
 import {createFeed, type Feed} from './feed.js';
-import {createFollowing, type Following} from './follow.js';
+import {createFollowing, type Following} from './following.js';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
 import {createSharedLoad, type SharedLoad} from './load.js';
 import {createModelStatistics, type ModelStatistics} from './models.js';
--- a/apps/router/src/entry/restoration.ts
+++ b/apps/router/src/entry/restoration.ts
@@ -9,7 +9,7 @@
 /** Time in which operators and other nodes write again what the copy lacks. */
 const REWRITE_MS = 6_000;
 
-export function recordRestoration(node: EntryNode, era: number): void {
+function recordRestoration(node: EntryNode, era: number): void {
   node.log.warn({from: node.feed.era, to: era}, 'store restored from a copy');
   node.metrics.restorations.inc();
   node.restoredAt = node.clock();
@@ -17,6 +17,13 @@
   node.storeReturnedAt = node.restoredAt;
 }
 
+/** Called before the first items of an era are applied. */
+export function updateEra(node: EntryNode, era: number): void {
+  const {feed} = node;
+  if (feed.revision === undefined || era <= feed.era) return;
+  recordRestoration(node, era);
+}
+
 /** Whether entries may be missing only because the store was restored. */
 export function isRestoring(node: EntryNode): boolean {
   return node.clock() - node.restoredAt < REWRITE_MS;
--- a/apps/router/test/entry/feed-interleavings.test.ts
+++ b/apps/router/test/entry/feed-interleavings.test.ts
@@ -8,12 +8,12 @@
   reportConfirmation,
   serveFollower,
 } from '@parsleyarch/router/entry/feed';
+import {createEntryNode, type EntryNode} from '@parsleyarch/router/entry/node';
 import {
   applyConfirmation,
   applyRelayedChanges,
-  pollStore,
-} from '@parsleyarch/router/entry/follow';
-import {createEntryNode, type EntryNode} from '@parsleyarch/router/entry/node';
+} from '@parsleyarch/router/entry/sources';
+import {pollStore} from '@parsleyarch/router/entry/store-calls';
 import {startKeyspace, type KeyspaceCopy} from '@parsleyarch/standins/keyspace';
 import {closeKeyspace} from '@parsleyarch/store/keyspace';
 import type {Changes} from '@parsleyarch/peer/messages';
@@ -79,7 +79,7 @@
   const template = await settingsFor(
     {server: {address: 'http://127.0.0.1:1'}} as never,
     'node',
-    {configuration: {applyMs: 4}},
+    {configuration: {applyMs: 4, contactMs: 6}},
   );
   const run = async (steps: readonly Step[]) => {
     const store = await startKeyspace();
@@ -184,7 +184,7 @@
     // With no further change, every node ends up with the store's state.
     relayed.clear();
     for (const node of nodes) {
-      node.following.retryAt = 0;
+      node.following.storeFailing = false;
       for (let poll = 0; poll < 3; poll += 1) await pollStore(node);
       const known = [...node.feed.items].map(([key, item]) => [
         key,
--- a/apps/router/test/entry/links.ts
+++ b/apps/router/test/entry/links.ts
@@ -1,6 +1,10 @@
 /** Nodes whose links to the store and to each other can be cut, for tests. */
 import {createEntry, type Entry} from '@parsleyarch/router/entry/serve';
-import {startProxy, type FaultProxy} from '@parsleyarch/standins/proxy';
+import {
+  startProxy,
+  type Direction,
+  type FaultProxy,
+} from '@parsleyarch/standins/proxy';
 import type {ExecutionContext} from 'ava';
 import {
   closeSite,
@@ -107,3 +111,26 @@
 export function linksOf(linked: LinkedSite, node: LinkedNode): FaultProxy[] {
   return [node.store, ...peerLinksOf(linked, node)];
 }
+
+/** Directions that are dropped on links now; a direction may stand several times. */
+const dropped = new WeakMap<FaultProxy, Direction[]>();
+
+/** Drops directions of links; returns a function that ends this drop. */
+export function cutLinks(
+  links: Iterable<FaultProxy>,
+  directions: readonly Direction[],
+): () => void {
+  const cut = [...new Set(links)];
+  for (const link of cut) {
+    dropped.set(link, [...(dropped.get(link) ?? []), ...directions]);
+    link.drop(dropped.get(link)!);
+  }
+  return () => {
+    for (const link of cut) {
+      const left = dropped.get(link)!;
+      for (const direction of directions)
+        left.splice(left.indexOf(direction), 1);
+      link.drop(left);
+    }
+  };
+}
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -1,7 +1,10 @@
 /** Tests of shared load and of the confirmations that travel with it. */
 import {createEntryNode, type EntryNode} from '@parsleyarch/router/entry/node';
 import {confirmationAge} from '@parsleyarch/router/entry/freshness';
-import {applyConfirmation, leaveSource} from '@parsleyarch/router/entry/follow';
+import {
+  applyConfirmation,
+  leaveSource,
+} from '@parsleyarch/router/entry/sources';
 import {collectLoad} from '@parsleyarch/router/entry/load';
 import {startKeyspace} from '@parsleyarch/standins/keyspace';
 import test, {type ExecutionContext} from 'ava';
--- a/apps/router/test/entry/regained-contact.test.ts
+++ b/apps/router/test/entry/regained-contact.test.ts
@@ -1,13 +1,10 @@
 /** Tests of nodes that reach the store and other nodes again after a disruption. */
-import {
-  BOTH_DIRECTIONS,
-  type Direction,
-  type FaultProxy,
-} from '@parsleyarch/standins/proxy';
+import {BOTH_DIRECTIONS, type Direction} from '@parsleyarch/standins/proxy';
 import test, {type ExecutionContext} from 'ava';
 import '../exit.js';
 import {startChanges} from './changes.js';
 import {
+  cutLinks,
   linksOf,
   peerLinksOf,
   startLinkedSite,
@@ -51,17 +48,14 @@
 ): Run {
   return async (linked, changes) => {
     const cut = select(linked.nodes);
-    const links = new Set<FaultProxy>();
+    const heals: Array<() => void> = [];
     for (const node of cut) {
       changes.lose(node);
-      for (const link of linksOf(linked, node)) {
-        links.add(link);
-        link.drop(directions);
-      }
+      heals.push(cutLinks(linksOf(linked, node), directions));
       await wait(CUT_INTERVAL_MS);
     }
     await wait(cutMs);
-    for (const link of links) link.drop([]);
+    for (const heal of heals) heal();
     for (const node of cut) changes.regain(node);
   };
 }
@@ -98,7 +92,7 @@
   checkChanges(t, async linked => {
     const cut = linked.nodes.slice(4);
     const links = cut.flatMap(node => peerLinksOf(linked, node));
-    for (const link of links) link.drop(BOTH_DIRECTIONS);
+    const heal = cutLinks(links, BOTH_DIRECTIONS);
     await wait(5_000);
-    for (const link of links) link.drop([]);
+    heal();
   }));
