Run a delegated request by no earlier configuration than that of the first node

The request now names the version by which it was accepted, and a delegate with an earlier one refuses, so that another node is asked. A delegate's own failures name their kind; final ones reach the caller. Nodes of an earlier release name neither and are treated as before.

--- a/apps/router/src/entry/delegation.ts
+++ b/apps/router/src/entry/delegation.ts
@@ -3,7 +3,13 @@
  * upstreams. The delegate serves them as its own, except that it never delegates
  * them further. Nodes authenticate each other with the key that they share.
  */
-import {failure} from '@parsleyarch/errors/failure';
+import {
+  ERROR_RESPONSES,
+  failure,
+  Run,
+  type Failure,
+  type FailureKind,
+} from '@parsleyarch/errors/failure';
 import {
   readAnswerHeaders,
   writeDelegatedHeaders,
@@ -16,14 +22,17 @@
 import {isRepeatable, isStream, type Exchange} from './exchange.js';
 import type {EntryNode, Member} from './node.js';
 import {isCutOff} from './reachability.js';
-import {readAnswerBody, writeBytes, writeHead} from './relay.js';
+import {FAILURE_FIELD, readAnswerBody, writeBytes, writeHead} from './relay.js';
 import {endWithAnswer, endWithFailure, recordAnswer} from './reply.js';
 
 /** Field with the number of upstreams that the delegate may try. */
 const ATTEMPTS_FIELD = 'x-delegated-attempts';
+/** Field with the version of the configuration by which the request was accepted. */
+const CONFIGURATION_FIELD = 'x-delegated-configuration';
 const DELEGATION_FIELDS: ReadonlySet<string> = new Set([
   PEER_KEY_FIELD,
   ATTEMPTS_FIELD,
+  CONFIGURATION_FIELD,
 ]);
 
 /** Delegates that are asked for one request. */
@@ -41,6 +50,8 @@
 type DelegateOutcome =
   /** No upstream has run it. */
   | {readonly kind: 'not run'; readonly reason: string}
+  /** The delegate refuses it, and so must every node with its configuration. */
+  | {readonly kind: 'refused'; readonly problem: Failure}
   /** An upstream may have run it. */
   | {readonly kind: 'lost'; readonly reason: string}
   | {
@@ -90,15 +101,27 @@
   );
   headers.push(PEER_KEY_FIELD, node.peers.key ?? '');
   headers.push(ATTEMPTS_FIELD, String(route.maxAttempts - runs));
+  headers.push(CONFIGURATION_FIELD, String(exchange.configuration));
   if (body.length > 0 || exchange.hasBody)
     headers.push('content-length', String(body.length));
   headers.push('connection', 'close');
   return headers;
 }
 
+function isFailureKind(kind: string): kind is FailureKind {
+  return Object.hasOwn(ERROR_RESPONSES, kind);
+}
+
+/** The failure that the delegate itself answers with; `undefined` if it is another's. */
+function readFailure({headers}: http.IncomingMessage): Failure | undefined {
+  const kind = String(headers[FAILURE_FIELD] ?? '');
+  if (!isFailureKind(kind)) return undefined;
+  return failure(kind, 'the delegate refuses the request');
+}
+
 /**
- * Status of the delegate's own refusals. Others without a seal may be of an upstream
- * that ran the request.
+ * Status of the refusals of nodes of an earlier release, which do not name the kind.
+ * Others without a seal may be of an upstream that ran the request.
  */
 const REFUSED_STATUS = 503;
 
@@ -107,8 +130,13 @@
   const answer = readAnswerHeaders(status, message.rawHeaders);
   if (answer.sealed) return {kind: 'answer', answer, message};
   message.destroy();
-  const kind = status === REFUSED_STATUS ? 'not run' : 'lost';
-  return {kind, reason: `delegate answered ${status}`};
+  const reason = `delegate answered ${status}`;
+  const problem = readFailure(message);
+  if (!problem)
+    return {kind: status === REFUSED_STATUS ? 'not run' : 'lost', reason};
+  if (problem.run !== Run.notRun) return {kind: 'lost', reason};
+  if (ERROR_RESPONSES[problem.kind].retryable) return {kind: 'not run', reason};
+  return {kind: 'refused', problem};
 }
 
 function sendToDelegate(
@@ -213,7 +241,8 @@
   exchange.triedDelegates.add(name);
   // The delegate may use all attempts that are left.
   const outcome = await sendToDelegate(node, exchange, delegation);
-  if (outcome.kind !== 'not run') exchange.runs = route.maxAttempts;
+  if (outcome.kind === 'answer' || outcome.kind === 'lost')
+    exchange.runs = route.maxAttempts;
   const reason = 'reason' in outcome ? outcome.reason : undefined;
   node.metrics.delegations.inc({outcome: outcome.kind});
   node.logDecision('delegate', {
@@ -223,6 +252,7 @@
     outcome: outcome.kind,
     status: 'answer' in outcome ? outcome.answer.status : undefined,
     reason,
+    refusal: 'problem' in outcome ? outcome.problem.kind : undefined,
     runsBefore: runs,
     tookMs: Math.round(node.clock() - startedAt),
   });
@@ -231,6 +261,10 @@
     return undefined;
   }
   if (outcome.kind === 'answer') return relayAnswer(node, exchange, outcome);
+  if (outcome.kind === 'refused') {
+    endWithFailure(node, exchange, outcome.problem);
+    return undefined;
+  }
   node.delegates.skipped.set(name, node.clock() + DELEGATE_SKIP_MS);
   return reason;
 }
@@ -239,6 +273,8 @@
 export interface Delegation {
   /** Upstreams that may be tried. */
   readonly attempts: number;
+  /** Version of the configuration by which the first node has accepted it. */
+  readonly configuration: number;
 }
 
 /**
@@ -255,9 +291,12 @@
     return undefined;
   const attempts = Number(headers[ATTEMPTS_FIELD]);
   if (!Number.isInteger(attempts) || attempts < 1) return undefined;
+  // Nodes of an earlier release do not name the version.
+  const configuration = Number(headers[CONFIGURATION_FIELD] ?? 0);
+  if (!Number.isFinite(configuration)) return undefined;
   request.rawHeaders = rawHeaders.filter((_text, index) => {
     const name = rawHeaders[index - (index % 2)];
     return !DELEGATION_FIELDS.has(name.toLowerCase());
   });
-  return {attempts};
+  return {attempts, configuration};
 }
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -37,6 +37,8 @@
   readonly target: string;
   readonly startedAt: number;
   readonly route: Route;
+  /** Version of the configuration by which it was accepted. */
+  readonly configuration: number;
   readonly service: string;
   readonly customer?: KeyHolder;
   readonly hasBody: boolean;
@@ -133,6 +135,13 @@
   const {routes} = node;
   if (!routes)
     return err(createRefusal('not-ready', 'no configuration received yet'));
+  if (delegation && delegation.configuration > routes.table.version)
+    return err(
+      createRefusal(
+        'stale-configuration',
+        'earlier than that of the first node',
+      ),
+    );
   // Accepting a key and non-retryable refusals require a confirmed configuration.
   const confirmed = acceptsKeys(node);
   const target = request.url ?? '/';
@@ -160,6 +169,7 @@
     target,
     startedAt: now,
     route,
+    configuration: routes.table.version,
     service,
     customer: admission.customer,
     hasBody:
--- a/apps/router/src/entry/relay.ts
+++ b/apps/router/src/entry/relay.ts
@@ -5,6 +5,19 @@
 import {isComplete, MAX_BUFFERED_BYTES, type AnswerBody} from './attempt.js';
 import type {EntryNode} from './node.js';
 
+/**
+ * Field with the kind of a failure, by which nodes tell the answers of a delegate from
+ * those of its upstreams.
+ */
+export const FAILURE_FIELD = 'x-failure-kind';
+
+function listForwarded({forwarded}: UpstreamAnswer): string[] {
+  return forwarded.filter((_text, index) => {
+    const name = forwarded[index - (index % 2)];
+    return name.toLowerCase() !== FAILURE_FIELD;
+  });
+}
+
 /** Writes the status and header of an upstream's answer. */
 export function writeHead(
   node: EntryNode,
@@ -12,7 +25,7 @@
   answer: UpstreamAnswer,
   length?: number,
 ): void {
-  const headers = [...answer.forwarded];
+  const headers = listForwarded(answer);
   if (length !== undefined) headers.push('content-length', String(length));
   if (node.stopping) headers.push('connection', 'close');
   response.writeHead(answer.status, headers);
--- a/apps/router/src/entry/reply.ts
+++ b/apps/router/src/entry/reply.ts
@@ -4,7 +4,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
-import {writeHead} from './relay.js';
+import {FAILURE_FIELD, writeHead} from './relay.js';
 
 const MS_PER_SECOND = 1_000;
 /** Failures after which the connection is closed, as its input is not read further. */
@@ -28,6 +28,7 @@
   const headers: Record<string, string | number> = {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
+    [FAILURE_FIELD]: kind,
   };
   if (retryAfterMs !== undefined)
     headers['retry-after'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
--- a/apps/router/test/entry/cut-off.test.ts
+++ b/apps/router/test/entry/cut-off.test.ts
@@ -293,19 +293,26 @@
   t.is(await countDelegations(entry), 0);
 });
 
-test('an answer of an upstream without a seal is no refusal of its delegate', async t => {
-  const site = await start(t, 3);
-  const [entry] = site.entries;
-  cutOff(entry, 'refused');
-  await measureServed(entry, 1_000);
-  for (const runner of site.runners)
-    runner.script = (_request, response) =>
-      void response.writeHead(404).end('ran and found nothing');
-  const headers = {'x-parsleyarch-attempt-id': 'unsealed'};
-  const {status} = await call(entry, {path: '/once/x', headers});
-  t.is(status, 502);
-  const runs = site.runners
-    .flatMap(({requests}) => requests)
-    .filter(({attempt}) => attempt === 'unsealed');
-  t.is(runs.length, 1);
-});
+const UNSEALED_HEADERS = {
+  'without a seal': {},
+  'that names a kind of failure': {'x-failure-kind': 'no-upstream'},
+};
+
+for (const [name, unsealed] of Object.entries(UNSEALED_HEADERS)) {
+  test(`an answer of an upstream ${name} is no refusal of its delegate`, async t => {
+    const site = await start(t, 3);
+    const [entry] = site.entries;
+    cutOff(entry, 'refused');
+    await measureServed(entry, 1_000);
+    for (const runner of site.runners)
+      runner.script = (_request, response) =>
+        void response.writeHead(404, unsealed).end('ran and found nothing');
+    const headers = {'x-parsleyarch-attempt-id': 'unsealed'};
+    const {status} = await call(entry, {path: '/once/x', headers});
+    t.is(status, 502);
+    const runs = site.runners
+      .flatMap(({requests}) => requests)
+      .filter(({attempt}) => attempt === 'unsealed');
+    t.is(runs.length, 1);
+  });
+}
