--- a/apps/router/src/entry/feed.ts
+++ b/apps/router/src/entry/feed.ts
@@ -12,7 +12,7 @@
 import {confirmationAge} from './freshness.js';
 import type {EntryNode} from './node.js';
 
-/** Changes kept for followers; one that is further behind gets all items. */
+/** Keys whose last changes are kept; a follower that is further behind gets all items. */
 const MAX_RECENT_CHANGE_COUNT = 500;
 /** Maximum time for which a follower's call is held open. */
 const MAX_FOLLOWER_WAIT_MS = 2_000;
@@ -41,9 +41,12 @@
   /** Revision up to which changes are known; absent before the first read. */
   revision?: number;
   readonly items: Map<string, StoredItem>;
-  /** Latest changes, oldest first. */
-  readonly recentChanges: StoredItem[];
-  /** Revision after which `recentChanges` holds every change. */
+  /**
+   * The last change of each key, oldest first. Superseded ones are dropped, as a value
+   * may be as large as a message between nodes.
+   */
+  readonly recentChanges: Map<string, StoredItem>;
+  /** Revision after which `recentChanges` holds the last change of every key. */
   recentSince: number;
   /** Callbacks that end the waits of followers. */
   readonly waitingFollowers: Set<() => void>;
@@ -54,7 +57,7 @@
   return {
     era: 0,
     items: new Map(),
-    recentChanges: [],
+    recentChanges: new Map(),
     recentSince: 0,
     waitingFollowers: new Set(),
     subscribers: [],
@@ -75,7 +78,7 @@
   feed.era = era;
   feed.items.clear();
   for (const item of items) feed.items.set(item.key, item);
-  feed.recentChanges.length = 0;
+  feed.recentChanges.clear();
   feed.recentSince = revision;
   feed.revision = revision;
   for (const {prefix, reset} of feed.subscribers)
@@ -93,6 +96,18 @@
   }
 }
 
+function keepRecentChange(feed: Feed, item: StoredItem): void {
+  const {recentChanges} = feed;
+  // Re-insertion keeps the map in revision order.
+  recentChanges.delete(item.key);
+  recentChanges.set(item.key, item);
+  for (const [key, {revision}] of recentChanges) {
+    if (recentChanges.size <= MAX_RECENT_CHANGE_COUNT) break;
+    recentChanges.delete(key);
+    feed.recentSince = revision;
+  }
+}
+
 /** Applies changes of the known era, in revision order, up to a revision. */
 export function applyChanges(
   feed: Feed,
@@ -102,14 +117,9 @@
   const known = feed.revision ?? 0;
   for (const item of items) {
     if (item.revision <= known) continue;
-    feed.recentChanges.push(item);
+    keepRecentChange(feed, item);
     applyChange(feed, item);
   }
-  for (const dropped of feed.recentChanges.splice(
-    0,
-    feed.recentChanges.length - MAX_RECENT_CHANGE_COUNT,
-  ))
-    feed.recentSince = dropped.revision;
   feed.revision = Math.max(known, revision);
   if (items.length > 0) wakeFollowers(feed);
 }
@@ -165,7 +175,7 @@
   const whole = era < feed.era || revision < feed.recentSince;
   const items = whole
     ? [...feed.items.values()]
-    : feed.recentChanges.filter(item => item.revision > revision);
+    : [...feed.recentChanges.values()].filter(item => item.revision > revision);
   const now = node.clock();
   return {
     ...reportConfirmation(node),
--- a/apps/router/test/entry/following.test.ts
+++ b/apps/router/test/entry/following.test.ts
@@ -202,6 +202,61 @@
     t.truthy(follower);
   }));
 
+const LARGE_BYTES = 900_000;
+
+/** Puts a configuration of nearly the largest size into force. */
+function configureLarge(site: Site, pathPrefix: string): void {
+  const notes = 'x'.repeat(LARGE_BYTES);
+  configure(site, [route({path_prefix: pathPrefix})], {...TENANTS, notes});
+}
+
+test.serial(
+  'a follower gets many changes of a large configuration from its source',
+  async t =>
+    withFollowers(t, async (site, [follower]) => {
+      const before = watchCallCount(follower);
+      for (let change = 0; change < 8; change += 1)
+        configureLarge(site, `/large-${change}/`);
+      const pathPrefix = () => follower.node.routes?.table.routes[0].pathPrefix;
+      await until(() => pathPrefix() === '/large-7/');
+      t.is(watchCallCount(follower), before);
+    }),
+);
+
+test.serial(
+  'a follower gets all items from its source although they are large',
+  async t =>
+    withFollowers(t, async (site, [follower]) => {
+      const before = watchCallCount(follower);
+      const notes = 'x'.repeat(LARGE_BYTES);
+      for (let key = 0; key < 6; key += 1) {
+        site.store.put(`op/large-${key}`, {notes});
+        await until(() => follower.node.feed.items.has(`op/large-${key}`));
+      }
+      for (const {node} of site.entries)
+        node.feed.recentSince = node.feed.revision!;
+      follower.node.feed.revision = 1;
+      configureLarge(site, '/after-all/');
+      const pathPrefix = () => follower.node.routes?.table.routes[0].pathPrefix;
+      await until(() => pathPrefix() === '/after-all/');
+      t.is(watchCallCount(follower), before);
+    }),
+);
+
+test.serial('changes that are superseded are not kept for followers', async t =>
+  withFollowers(t, async (site, [follower]) => {
+    const {feed} = site.entries[0].node;
+    for (let change = 0; change < 5; change += 1) {
+      const before = feed.revision!;
+      configureLarge(site, `/change-${change}/`);
+      await until(() => feed.revision! > before);
+    }
+    const kept = [...feed.recentChanges.values()];
+    t.is(kept.filter(({key}) => key === 'op/config').length, 1);
+    t.truthy(follower);
+  }),
+);
+
 test('a feed never applies older revisions, in whatever order they arrive', t => {
   const feed = createFeed();
   const seen: number[] = [];
--- a/packages/peer/src/client.ts
+++ b/packages/peer/src/client.ts
@@ -10,7 +10,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {PeerCall, PeerCalls} from './messages.js';
 import {PEER_KEY_FIELD} from './server.js';
-import {PEER_SERVICE} from './service.js';
+import {MESSAGE_OPTIONS, PEER_SERVICE} from './service.js';
 
 type Method = (
   request: unknown,
@@ -47,6 +47,7 @@
   const existing = peers.clients.get(address);
   if (existing) return existing;
   const opened = new PeerConnection(address, credentials.createInsecure(), {
+    ...MESSAGE_OPTIONS,
     'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
     'grpc.initial_reconnect_backoff_ms': 100,
     'grpc.keepalive_time_ms': KEEPALIVE_INTERVAL_MS,
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -10,7 +10,7 @@
   type ServerUnaryCall,
 } from '@grpc/grpc-js';
 import type {PeerCall, PeerCalls} from './messages.js';
-import {PEER_SERVICE} from './service.js';
+import {MESSAGE_OPTIONS, PEER_SERVICE} from './service.js';
 
 /** Handlers of the peer calls, by call name. */
 export type PeerHandlers = {
@@ -63,7 +63,7 @@
   currentKey: () => string,
   handlers: Partial<PeerHandlers>,
 ): Promise<Server> {
-  const server = new Server();
+  const server = new Server(MESSAGE_OPTIONS);
   const methods = Object.keys(handlers) as PeerCall[];
   server.addService(
     PEER_SERVICE,
