Refuse for good only by a configuration that is confirmed to be in force

Known routes and keys are served as before. The test fails without the change (404 in place of 503).

--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -18,7 +18,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import type {Delegation} from './delegation.js';
-import {acceptsKeys} from './freshness.js';
+import {acceptsKeys, mayRefuseForGood} from './freshness.js';
 import type {EntryNode} from './node.js';
 import type {Side} from './versions.js';
 
@@ -111,6 +111,18 @@
   return failure(kind, message, {retryAfterMs});
 }
 
+function notConfirmed(): Failure {
+  return createRefusal('stale-configuration', 'configuration not confirmed');
+}
+
+function refuseForGood(
+  node: EntryNode,
+  kind: FailureKind,
+  message: string,
+): Failure {
+  return mayRefuseForGood(node) ? createRefusal(kind, message) : notConfirmed();
+}
+
 function validateRequest(request: IncomingMessage, caller: CallerRequest) {
   if (!request.url?.startsWith('/'))
     return createRefusal('invalid-request', 'the target must be a path');
@@ -142,19 +154,17 @@
         'earlier than that of the first node',
       ),
     );
-  // Accepting a key and non-retryable refusals require a confirmed configuration.
-  const confirmed = acceptsKeys(node);
   const target = request.url ?? '/';
   const route = findRoute(routes, request.headers.host ?? '', target);
-  if (!confirmed && (!route || !route.isPublic))
+  if (!route)
     return err(
-      createRefusal('stale-configuration', 'configuration not confirmed'),
+      refuseForGood(node, 'not-found', 'no route for this host and path'),
     );
-  if (!route)
-    return err(createRefusal('not-found', 'no route for this host and path'));
+  // A key may have been withdrawn meanwhile.
+  if (!route.isPublic && !acceptsKeys(node)) return err(notConfirmed());
   const admission = authorizeKey(routes.table, route, caller.key);
   if (!admission.authorized)
-    return err(createRefusal('unauthenticated', 'unknown key'));
+    return err(refuseForGood(node, 'unauthenticated', 'unknown key'));
   const service = drawService(route, node.random());
   if (!service)
     return err(createRefusal('no-upstream', 'the route has no service'));
--- a/apps/router/src/entry/freshness.ts
+++ b/apps/router/src/entry/freshness.ts
@@ -23,6 +23,14 @@
   return confirmationAge(node) < revokeMs - FORWARDING_MARGIN_MS;
 }
 
+/**
+ * Whether a request may be refused for good by the known configuration: a change that
+ * allows it must be in force by then, and callers do not retry such a refusal.
+ */
+export function mayRefuseForGood(node: EntryNode): boolean {
+  return confirmationAge(node) < node.settings.configuration.applyMs;
+}
+
 /** Whether the node should take new connections. */
 export function isReady(node: EntryNode): boolean {
   if (node.stopping || !node.routes) return false;
--- a/apps/router/test/entry/configuration.test.ts
+++ b/apps/router/test/entry/configuration.test.ts
@@ -213,3 +213,23 @@
       200,
     );
   }));
+
+test('a node that may have missed a change refuses nothing for good', async t =>
+  withSite(t, async site => {
+    configure(site, [route()], TENANTS);
+    const {node, ...entry} = await startNode(site);
+    const unknownPath = () =>
+      call({node, ...entry}, {path: '/b/x', ...withKey('k1')});
+    const unknownKey = () => call({node, ...entry}, withKey('k3'));
+    t.is((await unknownPath()).status, 404);
+    t.is((await unknownKey()).status, 401);
+    site.store.behavior = StoreBehavior.unresponsive;
+    await until(
+      () => confirmationAge(node) > node.settings.configuration.applyMs,
+    );
+    for (const refused of [await unknownPath(), await unknownKey()]) {
+      t.is(refused.status, 503);
+      t.truthy(refused.headers['retry-after']);
+    }
+    t.is((await call({node, ...entry}, withKey('k1'))).status, 200);
+  }));
