--- a/apps/router/src/entry/feed.ts
+++ b/apps/router/src/entry/feed.ts
@@ -51,10 +51,15 @@
   /** Callbacks that end the waits of followers. */
   readonly waitingFollowers: Set<() => void>;
   readonly subscribers: Subscriber[];
+  /** Called when a subscriber cannot apply an item. */
+  readonly onError: (key: string, error: unknown) => void;
 }
 
-export function createFeed(): Feed {
+export function createFeed(
+  onError: (key: string, error: unknown) => void,
+): Feed {
   return {
+    onError,
     era: 0,
     items: new Map(),
     recentChanges: new Map(),
@@ -68,6 +73,15 @@
   for (const wake of [...waitingFollowers]) wake();
 }
 
+/** A subscriber that throws must keep no item from the others. */
+function notify(feed: Feed, key: string, apply: () => void): void {
+  try {
+    apply();
+  } catch (thrown) {
+    feed.onError(key, thrown);
+  }
+}
+
 /** Replaces all items by those of a full read, unless it is older. */
 export function replaceItems(
   feed: Feed,
@@ -81,8 +95,10 @@
   feed.recentChanges.clear();
   feed.recentSince = revision;
   feed.revision = revision;
-  for (const {prefix, reset} of feed.subscribers)
-    reset(items.filter(({key}) => key.startsWith(prefix)));
+  for (const {prefix, reset} of feed.subscribers) {
+    const matching = items.filter(({key}) => key.startsWith(prefix));
+    notify(feed, prefix, () => reset(matching));
+  }
   wakeFollowers(feed);
 }
 
@@ -92,7 +108,7 @@
   if (item.value) feed.items.set(item.key, item);
   else feed.items.delete(item.key);
   for (const {prefix, change} of feed.subscribers) {
-    if (item.key.startsWith(prefix)) change(item);
+    if (item.key.startsWith(prefix)) notify(feed, item.key, () => change(item));
   }
 }
 
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -221,7 +221,12 @@
     retries: new Map(),
     members: new Map(),
     peakMemberCount: 1,
-    feed: createFeed(),
+    feed: createFeed((key, error) =>
+      log.error(
+        {key, error: String(error)},
+        'an item of the store cannot be applied',
+      ),
+    ),
     following: createFollowing(),
     storeLost: false,
     restoredAt: -Infinity,
--- a/apps/router/test/entry/following.test.ts
+++ b/apps/router/test/entry/following.test.ts
@@ -258,7 +258,7 @@
 );
 
 test('a feed never applies older revisions, in whatever order they arrive', t => {
-  const feed = createFeed();
+  const feed = createFeed(key => t.fail(key));
   const seen: number[] = [];
   feed.subscribers.push({
     prefix: 'a',
--- a/apps/router/test/entry/restoration.test.ts
+++ b/apps/router/test/entry/restoration.test.ts
@@ -272,7 +272,7 @@
 });
 
 test('a feed orders items by era first', t => {
-  const feed = createFeed();
+  const feed = createFeed(() => {});
   const item = (revision: number) => ({
     key: 'a',
     revision,
--- a/apps/standins/src/keyspace.ts
+++ b/apps/standins/src/keyspace.ts
@@ -38,6 +38,8 @@
   /** Number of restorations; stated in every answer. */
   era: number;
   put(key: string, value: unknown): number;
+  /** Writes a value that need not be JSON. */
+  putBytes(key: string, value: Buffer): number;
   remove(key: string): void;
   /** Copies the state. */
   copy(): KeyspaceCopy;
@@ -250,6 +252,7 @@
     },
     put: (key, value) =>
       write(key, Buffer.from(JSON.stringify(value)).toString('base64')),
+    putBytes: (key, value) => write(key, value.toString('base64')),
     remove: key => void write(key, undefined),
     close: () => server.close(),
   };
