Open a connection for each call to an engine

On the product's own interface the client of engines kept its connections: the copy arrived while the connection was idle and was read as the refusal of the next job, which had run ('not-run' in place of 'unknown' in the test).

Connections are no longer kept, as for services. The entry path has none.

--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -40,8 +40,12 @@
   readonly reason: string;
 }
 
-/** Settings and pooled connections for calls to engines. */
+/** Settings for calls to engines. */
 export interface EngineClient {
+  /**
+   * Opens a new connection for each call, so that a late or duplicate response to
+   * another call cannot be mistaken for the response to this one.
+   */
   readonly agent: http.Agent;
   /** Idle timeout of a stream, milliseconds. */
   readonly idleMs: number;
@@ -73,9 +77,9 @@
 const REPORT_IDLE_MS = 3_000;
 const CANCEL_IDLE_MS = 1_000;
 
-/** Creates a client with its own connection pool. */
+/** Creates a client; no connection is opened before the first call. */
 export function createEngineClient(node: string, idleMs: number): EngineClient {
-  return {node, idleMs, agent: new http.Agent({keepAlive: true})};
+  return {node, idleMs, agent: new http.Agent({keepAlive: false})};
 }
 
 function parseFrame<T>(schema: z.ZodType<T>, data: string): T | undefined {
