Take no refusal that names another request for one of this request

Now an answer that names another request says nothing of this one, whatever its status; a refusal that names none counts as before. The test fails without the change (503 in place of 502).

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -92,14 +92,13 @@
   return headers;
 }
 
-/** Returns why an answer is not the upstream's answer to this request. */
-function findMismatch(
-  answer: UpstreamAnswer,
-  exchange: Exchange,
-): string | undefined {
-  const {attemptId} = exchange.caller;
-  if (answer.attemptId !== undefined && answer.attemptId !== attemptId)
-    return 'answer belongs to another request';
+/** Whether an answer names another request, which only a faulty upstream does. */
+function isOfOther({attemptId}: UpstreamAnswer, {caller}: Exchange): boolean {
+  return attemptId !== undefined && attemptId !== caller.attemptId;
+}
+
+/** Returns why an answer that is no refusal cannot be used. */
+function findDefect(answer: UpstreamAnswer): string | undefined {
   if (answer.encoded) return 'answer body is encoded';
   const success = answer.status >= 200 && answer.status < 300;
   if (success && (!answer.sealed || answer.attemptId === undefined))
@@ -113,15 +112,19 @@
     response.statusCode ?? 0,
     response.rawHeaders,
   );
+  if (isOfOther(answer, exchange)) {
+    response.destroy();
+    return {kind: 'lost', reason: 'answer belongs to another request'};
+  }
   if (answer.notRun) {
     // The body is not needed, and may have no end.
     response.destroy();
     return {kind: 'refused', answer};
   }
-  const mismatch = findMismatch(answer, exchange);
-  if (!mismatch) return {kind: 'answer', answer, body};
+  const defect = findDefect(answer);
+  if (!defect) return {kind: 'answer', answer, body};
   response.destroy();
-  return {kind: 'lost', reason: mismatch};
+  return {kind: 'lost', reason: defect};
 }
 
 function isRefusal(error?: Error): boolean {
--- a/apps/router/test/entry/mishaps.test.ts
+++ b/apps/router/test/entry/mishaps.test.ts
@@ -208,3 +208,26 @@
     [...new Set(sequences)].sort((a, b) => a - b),
   );
 });
+
+test('a refusal of an earlier request is not taken for one of the request that has run', async t => {
+  const site = await startSite(2);
+  t.teardown(() => closeSite(site));
+  configure(site, [route(once)]);
+  const entry = await startNode(site);
+  const refusal = (attempt: string) => ({
+    'X-Parsleyarch-Attempt-Id': attempt,
+    'X-Parsleyarch-Not-Run': '1',
+  });
+  const refuseAll = (earlier?: string) => {
+    for (const runner of site.runners)
+      runner.script = ({attempt}, response) =>
+        void response.writeHead(503, refusal(earlier ?? attempt)).end();
+  };
+  refuseAll();
+  t.is((await call(entry, postOnce)).status, 503);
+  const earlier = runsOf(site.runners)[0].attempt;
+  const before = runsOf(site.runners).length;
+  refuseAll(earlier);
+  t.is((await call(entry, postOnce)).status, 502);
+  t.is(runsOf(site.runners).length, before + 1);
+});
