Give up an upstream that begins a resumed stream anew

The first event of a resumed stream must come after the last one that was relayed. The test fails without the change.

--- a/apps/router/src/entry/relay.ts
+++ b/apps/router/src/entry/relay.ts
@@ -61,6 +61,8 @@
   eventCount: number;
   /** Whether an incomplete event exceeds the limit; it will not be completed. */
   readonly isTooLarge: () => boolean;
+  /** Whether a stream that should go on after an event has begun with an earlier one. */
+  readonly isRepeating: () => boolean;
   /** Discards an incomplete event before the stream resumes elsewhere. */
   reset(): void;
   /** Whether bytes of an incomplete event are buffered. */
@@ -79,6 +81,9 @@
 /** Creates a splitter for a stream that begins after the event `lastId`. */
 export function createEventSplitter(lastId: string): EventSplitter {
   let partial: Buffer = Buffer.alloc(0);
+  let resumedAfter = lastId;
+  let isFirst = true;
+  let repeating = false;
   const splitter: EventSplitter = {
     lastId,
     eventCount: 0,
@@ -92,14 +97,23 @@
       if (end > 0) parser.feed(complete.toString('utf8'));
       return complete;
     },
+    isRepeating: () => repeating,
     reset() {
       partial = Buffer.alloc(0);
+      resumedAfter = splitter.lastId;
+      isFirst = true;
+      repeating = false;
       parser.reset();
     },
     hasPartial: () => partial.length > 0,
   };
   const parser = createParser({
     onEvent: ({id}) => {
+      if (isFirst && id !== undefined) {
+        isFirst = false;
+        repeating = Number(id) <= Number(resumedAfter || NaN);
+      }
+      if (repeating) return;
       splitter.eventCount += 1;
       if (id !== undefined) splitter.lastId = id;
     },
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -84,6 +84,7 @@
       const known = splitter.eventCount;
       const events = splitter.split(chunk);
       if (splitter.isTooLarge()) return StreamEnd.abandoned;
+      if (splitter.isRepeating()) return StreamEnd.abandoned;
       pace.update(splitter.eventCount - relayedCount);
       // Time in which the caller does not read is no gap of the stream.
       const writtenAt = node.clock();
--- a/apps/router/test/entry/streams.test.ts
+++ b/apps/router/test/entry/streams.test.ts
@@ -183,6 +183,23 @@
   },
 );
 
+/** Breaks a stream after 4 events. */
+const breakOff: Script = (seen, response) => {
+  openStream(seen, response);
+  for (let id = 1; id <= 4; id += 1) response.write(event(id));
+  setTimeout(() => response.socket!.resetAndDestroy(), 30);
+};
+
+test.serial(
+  'an upstream that begins a resumed stream anew repeats no event',
+  async t => {
+    for (const runner of site.runners) runner.script = breakOff;
+    const answer = await post();
+    t.is(answer.body, [1, 2, 3, 4].map(event).join(''));
+    t.false(answer.complete);
+  },
+);
+
 test.serial('a resuming caller gets the events after its last', async t => {
   for (const runner of site.runners) runner.script = sendAll;
   const answer = await post('/a/x', {'last-event-id': '7'});
