Close a stream that broke in place of writing an earlier error after it

Node.js refused the second head, so callers got a closed connection and no error text, but the request had no answer line, and an unexpected error was logged.

The stream now ends incomplete with its answer line. Two of three cases of the test fail without the change (no answer line).

--- a/apps/router/src/entry/reply.ts
+++ b/apps/router/src/entry/reply.ts
@@ -1,5 +1,9 @@
 /** Error answers of the router, and the log entry and metric of every answer. */
-import {ERROR_RESPONSES, type Failure} from '@parsleyarch/errors/failure';
+import {
+  ERROR_RESPONSES,
+  failure,
+  type Failure,
+} from '@parsleyarch/errors/failure';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {ServerResponse} from 'node:http';
 import type {Exchange} from './exchange.js';
@@ -88,13 +92,20 @@
   readonly body: Buffer;
 }
 
-/** Ends a request with the answer of an upstream. */
+/**
+ * Ends a request with the answer of an upstream; closes the connection if another
+ * answer has begun.
+ */
 export function endWithAnswer(
   node: EntryNode,
   exchange: Exchange,
   {answer, body}: BufferedAnswer,
 ): void {
   if (exchange.ended) return;
+  if (exchange.response.headersSent) {
+    const reason = `the stream broke; ${answer.status} before it`;
+    return endWithFailure(node, exchange, failure('upstream-lost', reason));
+  }
   exchange.ended = true;
   writeHead(node, exchange.response, answer, body.length);
   exchange.response.end(body);
--- a/apps/router/test/entry/streams.test.ts
+++ b/apps/router/test/entry/streams.test.ts
@@ -190,6 +190,45 @@
   setTimeout(() => response.socket!.resetAndDestroy(), 30);
 };
 
+const ERROR_TEXT = '{"error":"overloaded"}\n\n';
+
+/** Answers with an error that has the upstream's seal. */
+const fail: Script = (seen, response) =>
+  void response.writeHead(500, createSeal(seen)).end(ERROR_TEXT);
+
+for (const [label, scripts] of Object.entries({
+  'before it': [fail, breakOff],
+  'after it': [breakOff, fail],
+  'before and after it': [fail, breakOff, fail],
+}))
+  test.serial(
+    `a stream that breaks, with an error of another upstream ${label}, ends incomplete without that error`,
+    async t => {
+      let count = 0;
+      for (const runner of site.runners)
+        runner.script = (...request) => {
+          const script = scripts[Math.min(count, scripts.length - 1)];
+          count += 1;
+          return script(...request);
+        };
+      const lines: Record<string, unknown>[] = [];
+      const {node} = site.entries[0];
+      const {logDecision} = node;
+      Object.assign(node, {
+        logDecision: (decision: string, fields: Record<string, unknown>) =>
+          lines.push({decision, ...fields}),
+      });
+      const answer = await post();
+      Object.assign(node, {logDecision});
+      t.is(answer.status, 200);
+      t.is(answer.body, [1, 2, 3, 4].map(event).join(''));
+      t.false(answer.complete);
+      const answers = lines.filter(({decision}) => decision === 'answer');
+      t.is(answers.length, 1);
+      t.is(answers[0].status, 0);
+    },
+  );
+
 test.serial(
   'an upstream that begins a resumed stream anew repeats no event',
   async t => {
