Take a resumed stream without a length and without an event for broken

Only events of the whole stream were counted, not those of the connection that closed. The test fails without the change.

--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -100,7 +100,7 @@
     pace.end(gaps.hasStalled());
   }
   // A connection that closes before the first event cannot tell an end from a crash.
-  const isCutOff = body.closeDelimited && splitter.eventCount === 0;
+  const isCutOff = body.closeDelimited && splitter.eventCount === relayedCount;
   return isComplete(body) && !splitter.hasPartial() && !isCutOff
     ? StreamEnd.complete
     : StreamEnd.brokenOff;
--- a/apps/router/test/entry/streams.test.ts
+++ b/apps/router/test/entry/streams.test.ts
@@ -229,6 +229,16 @@
     },
   );
 
+test.serial(
+  'a stream that goes on without a length and ends before an event is not complete',
+  async t => {
+    answerInTurn(breakOff, closeDelimited(''));
+    const answer = await post();
+    t.is(answer.body, [1, 2, 3, 4].map(event).join(''));
+    t.false(answer.complete);
+  },
+);
+
 test.serial(
   'an upstream that begins a resumed stream anew repeats no event',
   async t => {
