Let no answer of another type go on with a stream that broke

Only the status decided whether an answer goes on with the stream; its media type must now be that of the first answer. The test fails without the change: the text of the error was relayed.

--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -111,6 +111,7 @@
   node: EntryNode,
   exchange: Exchange,
   model: string | undefined,
+  first: UpstreamAnswer,
   lastEventId: string,
 ): Promise<AnswerBody | undefined> {
   while (!exchange.ended && isRepeatable(exchange)) {
@@ -126,8 +127,9 @@
     if (outcome.kind === 'refused' || outcome.kind === 'unsent')
       exchange.runs -= 1;
     if (outcome.kind !== 'answer') continue;
-    const {status} = outcome.answer;
-    if (status >= 200 && status < 300) return outcome.body;
+    const {status, mediaType} = outcome.answer;
+    const isSuccess = status >= 200 && status < 300;
+    if (isSuccess && mediaType === first.mediaType) return outcome.body;
     outcome.body.message.destroy();
   }
   return undefined;
@@ -176,7 +178,7 @@
     if (exchange.ended) return true;
     const lastId = splitter.lastId;
     splitter.reset();
-    body = await resumeStream(node, exchange, model, lastId);
+    body = await resumeStream(node, exchange, model, answer, lastId);
   }
   return false;
 }
--- a/apps/router/test/entry/streams.test.ts
+++ b/apps/router/test/entry/streams.test.ts
@@ -183,6 +183,12 @@
   },
 );
 
+const ERROR_TEXT = '{"error":"overloaded"}\n\n';
+
+/** Answers with an error that has the upstream's seal. */
+const fail: Script = (seen, response) =>
+  void response.writeHead(500, createSeal(seen)).end(ERROR_TEXT);
+
 /** Breaks a stream after 4 events. */
 const breakOff: Script = (seen, response) => {
   openStream(seen, response);
@@ -190,12 +196,6 @@
   setTimeout(() => response.socket!.resetAndDestroy(), 30);
 };
 
-const ERROR_TEXT = '{"error":"overloaded"}\n\n';
-
-/** Answers with an error that has the upstream's seal. */
-const fail: Script = (seen, response) =>
-  void response.writeHead(500, createSeal(seen)).end(ERROR_TEXT);
-
 for (const [label, scripts] of Object.entries({
   'before it': [fail, breakOff],
   'after it': [breakOff, fail],
@@ -249,6 +249,19 @@
   },
 );
 
+test.serial(
+  'an answer of another type never goes on with a stream that broke',
+  async t => {
+    answerInTurn(breakOff, (seen, response) => {
+      openStream(seen, response, {'content-type': 'application/json'});
+      response.end(ERROR_TEXT);
+    });
+    const answer = await post();
+    t.is(answer.body, [1, 2, 3, 4].map(event).join(''));
+    t.false(answer.complete);
+  },
+);
+
 test.serial('a resuming caller gets the events after its last', async t => {
   for (const runner of site.runners) runner.script = sendAll;
   const answer = await post('/a/x', {'last-event-id': '7'});
