--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -29,8 +29,6 @@
   configuration: z.strictObject({
     /** Maximum time until a change is in force on all nodes. */
     applyMs: milliseconds.positive(),
-    /** Time after which a node that reaches the store again must be current. */
-    contactMs: milliseconds.positive().default(3_000),
   }),
   keys: z.strictObject({
     /** Whether keys are refused while the configuration may be stale. */
--- a/apps/router/src/entry/store-calls.ts
+++ b/apps/router/src/entry/store-calls.ts
@@ -35,7 +35,7 @@
     isWatcher: isWatcher(node),
     sincePeerMs: node.clock() - following.peerAnsweredAt,
     nodeCount: members.size,
-    contactMs: settings.configuration.contactMs,
+    applyMs: settings.configuration.applyMs,
   });
   return Math.min(maxMs, following.storePauseMs);
 }
--- a/apps/router/test/entry/feed-interleavings.test.ts
+++ b/apps/router/test/entry/feed-interleavings.test.ts
@@ -79,7 +79,7 @@
   const template = await settingsFor(
     {server: {address: 'http://127.0.0.1:1'}} as never,
     'node',
-    {configuration: {applyMs: 4, contactMs: 6}},
+    {configuration: {applyMs: 4}},
   );
   const run = async (steps: readonly Step[]) => {
     const store = await startKeyspace();
--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -32,7 +32,7 @@
     delegation: await address(),
     metrics: await address(),
     store: {address: store.server.address, timeoutMs: 500},
-    configuration: {applyMs: 2_000, contactMs: 3_000},
+    configuration: {applyMs: 2_000},
     keys: {failClosed: true, revokeMs: 5_000},
     retries: {ratio: 0.9, windowSeconds: 10, slack: 56},
     cold: {over: 1.5, slack: 5},
--- a/packages/policy/src/following.ts
+++ b/packages/policy/src/following.ts
@@ -1,8 +1,8 @@
 /**
  * How a node that no longer knows whether it is current regains contact: how often it
  * calls the store, and which other nodes it asks. All ways are tried at the same time
- * and each wait is bounded by the time in which a node must be current again, so that
- * no wait outlives the disruption by more than that. Answers the load that a store
+ * and each wait is bounded by the time in which a change must be in force, so that no
+ * wait outlives the disruption by more than that. Answers the load that a store
  * gets from all nodes in an outage. Pure functions only.
  */
 
@@ -13,15 +13,16 @@
   /** Time since another node has answered this one, milliseconds. */
   readonly sincePeerMs: number;
   readonly nodeCount: number;
-  /** Time after which a node with a path to the store must be current, milliseconds. */
-  readonly contactMs: number;
+  /** Time in which a change must be in force, milliseconds. */
+  readonly applyMs: number;
 }
 
-/** Longest pauses, relative to the time after which a node must be current. */
-const MAX_WATCHER_PAUSE_RATIO = 1 / 6;
-const MAX_ISOLATED_PAUSE_RATIO = 1 / 3;
-/** The same without an answer of another node counts as isolated. */
-const ISOLATION_RATIO = 2 / 3;
+/**
+ * Longest pauses, relative to the time in which a change must be in force: a node that
+ * reaches the store again must be current after a little more than that.
+ */
+const MAX_WATCHER_PAUSE_RATIO = 1 / 4;
+const MAX_ISOLATED_PAUSE_RATIO = 1 / 2;
 /** Calls per second to a store that does not answer, by all followers together. */
 const MAX_CALLS_PER_SECOND = 50;
 const MAX_FOLLOWER_PAUSE_MS = 4_000;
@@ -34,11 +35,11 @@
   isWatcher,
   sincePeerMs,
   nodeCount,
-  contactMs,
+  applyMs,
 }: StoreContact): number {
-  if (isWatcher) return contactMs * MAX_WATCHER_PAUSE_RATIO;
-  const isolatedPauseMs = contactMs * MAX_ISOLATED_PAUSE_RATIO;
-  if (sincePeerMs > contactMs * ISOLATION_RATIO) return isolatedPauseMs;
+  if (isWatcher) return applyMs * MAX_WATCHER_PAUSE_RATIO;
+  const isolatedPauseMs = applyMs * MAX_ISOLATED_PAUSE_RATIO;
+  if (sincePeerMs > applyMs) return isolatedPauseMs;
   const sharedPauseMs = (nodeCount / MAX_CALLS_PER_SECOND) * 1_000;
   return Math.max(
     isolatedPauseMs,
--- a/packages/policy/test/following.test.ts
+++ b/packages/policy/test/following.test.ts
@@ -6,27 +6,33 @@
 import test from 'ava';
 import fc from 'fast-check';
 
-const CONTACT_MS = 3_000;
+/** Bounds of the sites: time to apply a change, and time with a path before that. */
+const BOUNDS = [
+  {applyMs: 2_000, contactMs: 3_000},
+  {applyMs: 3_000, contactMs: 4_000},
+  {applyMs: 4_000, contactMs: 5_000},
+];
 /** Time limit of a call to the store, milliseconds. */
 const CALL_MS = 1_000;
-const contactMs = CONTACT_MS;
 
 test('a node that hears of no other one calls the store again well within its time', t => {
   const counts = fc.integer({min: 1, max: 400});
   fc.assert(
     fc.property(counts, fc.boolean(), (nodeCount, isWatcher) => {
-      const sincePeerMs = Infinity;
-      const state = {isWatcher, sincePeerMs, nodeCount, contactMs};
-      // A call that began before the return hangs, and the one after the pause succeeds.
-      const longestMs = CALL_MS + maxStorePauseMs(state);
-      t.true(longestMs <= (2 / 3) * CONTACT_MS);
+      for (const {applyMs, contactMs} of BOUNDS) {
+        const sincePeerMs = Infinity;
+        const state = {isWatcher, sincePeerMs, nodeCount, applyMs};
+        // A call that began before the return hangs, and the one after the pause succeeds.
+        const longestMs = CALL_MS + maxStorePauseMs(state);
+        t.true(longestMs <= (2 / 3) * contactMs);
+      }
     }),
   );
 });
 
 test('followers that hear of each other call a store in an outage 50 times a second at most', t => {
   for (const nodeCount of [8, 9, 30, 60, 120, 195]) {
-    const state = {isWatcher: false, sincePeerMs: 0, nodeCount, contactMs};
+    const state = {isWatcher: false, sincePeerMs: 0, nodeCount, applyMs: 2_000};
     const callsPerSecond = (nodeCount * 1_000) / maxStorePauseMs(state);
     t.true(callsPerSecond <= 50);
   }
