--- a/apps/router/test/entry/delegated-configuration.test.ts
+++ b/apps/router/test/entry/delegated-configuration.test.ts
@@ -1,6 +1,8 @@
 /** Tests of delegates whose configuration differs from that of the first node. */
+import {listen} from '@parsleyarch/router/entry/ingress';
 import type {Entry} from '@parsleyarch/router/entry/serve';
 import test, {type ExecutionContext} from 'ava';
+import * as http from 'node:http';
 import '../exit.js';
 import {cutOff} from './cutting.js';
 import {
@@ -8,6 +10,7 @@
   closeSite,
   configure,
   route,
+  send,
   startNode,
   startSite,
   until,
@@ -77,3 +80,32 @@
   );
   t.is((await call(entry, WITH_KEY)).status, 401);
 });
+
+test('a request that a node of an earlier release delegates is served', async t => {
+  const site = await startCutSite(t, 2);
+  const [, other] = site.entries;
+  const {status} = await send(other.node.settings.delegation, {
+    headers: {'x-peer-key': other.node.peers.key, 'x-delegated-attempts': '2'},
+  });
+  t.is(status, 200);
+});
+
+test('a refusal of a delegate of an earlier release leaves the request to another node', async t => {
+  const site = await startCutSite(t, 2);
+  const [entry] = site.entries;
+  let asked = 0;
+  const server = http.createServer((_request, response) => {
+    asked += 1;
+    response.writeHead(503, {'retry-after': '0.3'}).end('{}');
+  });
+  t.teardown(() => void server.close());
+  const {port} = await listen(server, '127.0.0.1:0');
+  const [member] = [...entry.node.members.values()];
+  const earlier = {...member, name: 'earlier', delegation: `127.0.0.1:${port}`};
+  entry.node.members.set('earlier', earlier);
+  for (let index = 0; index < REQUEST_COUNT; index += 1) {
+    entry.node.delegates.skipped.clear();
+    t.is((await call(entry)).status, 200);
+  }
+  t.true(asked > 0);
+});
--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -149,7 +149,12 @@
 
 /** Sends a request to a node; a broken connection is an answer with status 0. */
 export function call(entry: Entry, request: Call = {}): Promise<Answer> {
-  const [host, port] = entry.node.settings.callers.split(':');
+  return send(entry.node.settings.callers, request);
+}
+
+/** The same to an address. */
+export function send(address: string, request: Call): Promise<Answer> {
+  const [host, port] = address.split(':');
   const startedAt = performance.now();
   return new Promise(resolve => {
     let status = 0;
--- a/apps/standins/src/cluster.ts
+++ b/apps/standins/src/cluster.ts
@@ -16,7 +16,8 @@
 
 /** Key for the operators' listener of every node. */
 export const OPERATOR_KEY = 'operator-key-of-the-stand-ins';
-const ROUTER_BUNDLE = 'build/parsleyarch.cjs';
+/** The bundle of the router, built before the tests. */
+export const ROUTER_BUNDLE = 'build/parsleyarch.cjs';
 
 export interface ClusterNode {
   readonly name: string;
--- a/apps/standins/src/demo.ts
+++ b/apps/standins/src/demo.ts
@@ -4,20 +4,20 @@
 import {promisify} from 'node:util';
 import {chat, sendRequest, type CallerAnswer} from './client.js';
 import {
-  closeCluster,
   applyChanges,
-  waitForRevision,
-  sendOperatorRequest,
+  closeCluster,
+  type Cluster,
   OPERATOR_KEY,
+  ROUTER_BUNDLE,
+  sendOperatorRequest,
   startCluster,
-  type Cluster,
+  waitForRevision,
 } from './cluster.js';
 import {startEngines, startServices, type Pool} from './deployment.js';
 import {expectedAnswer, type EngineStandIn} from './engine.js';
 import type {ServiceStandIn} from './service.js';
 
 const execFileAsync = promisify(execFile);
-const ROUTER_BUNDLE = 'build/parsleyarch.cjs';
 /** Time within which an accepted change must be in force on every node. */
 const PROPAGATION_TIMEOUT_MS = 8_000;
 /** Keys of two customers that `examples/` declares. */
