Tie the side of a session to its roll-out

Sessions changed version in the first half of a roll-out that followed a completed one at once: a session on the new version v2 was known as 'on the new side', which the next order took for its own v3.

A side now counts for the version it was assigned for; any version of an earlier roll-out is the old one. The same for a request whose order is replaced while it is served. The test fails without the change (all 40 sessions moved).

--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -61,6 +61,8 @@
   readonly triedDelegates: Set<string>;
   /** Old or new version, while a roll-out of its service is under way. */
   side?: Side;
+  /** New version of the roll-out under which the side was assigned. */
+  rolloutTarget?: string;
   /** Upstreams that ended while they served it. */
   crashes: number;
   /** Keys of this request in the evidence on crashes; computed when needed. */
--- a/apps/router/src/entry/versions.ts
+++ b/apps/router/src/entry/versions.ts
@@ -24,6 +24,8 @@
 
 interface KnownSession {
   readonly side: Side;
+  /** New version of the roll-out that the side belongs to. */
+  readonly target?: string;
   readonly lastActiveAt: number;
 }
 
@@ -121,12 +123,17 @@
   return caller.session ?? caller.attemptId;
 }
 
-function findKnownSide(node: EntryNode, key: string): Side | undefined {
+/** Side of a session in a roll-out; any version of an earlier one is now the old one. */
+function findKnownSide(
+  node: EntryNode,
+  key: string,
+  target: string,
+): Side | undefined {
   const known = node.versions.sessions.get(key);
   const {sessionSeconds} = node.settings.rollout;
   if (!known || node.clock() - known.lastActiveAt > sessionSeconds * 1_000)
     return undefined;
-  return known.side;
+  return known.target === target ? known.side : Side.old;
 }
 
 function chooseSide(
@@ -135,7 +142,8 @@
   plan: RolloutPlan,
   session: string,
 ): Side {
-  const known = findKnownSide(node, `${order.service}/${session}`);
+  const key = `${order.service}/${session}`;
+  const known = findKnownSide(node, key, order.target);
   if (known === Side.fresh) return Side.fresh;
   if (!isInShare(plan, session) || isOutOfTouch(node)) return Side.old;
   if (plan.phase !== Phase.canary) return Side.fresh;
@@ -164,8 +172,8 @@
   for (const key of node.versions.sessions.keys()) {
     if (!key.startsWith(prefix)) continue;
     const session = key.slice(prefix.length);
-    if (findKnownSide(node, key) === Side.old && isInShare(plan, session))
-      local.add(session);
+    const isOld = findKnownSide(node, key, plan.target) === Side.old;
+    if (isOld && isInShare(plan, session)) local.add(session);
   }
 }
 
@@ -186,6 +194,7 @@
 export function assignSide(node: EntryNode, exchange: Exchange): void {
   const order = node.orders.get(exchange.service);
   exchange.side = order ? determineSide(node, order, exchange) : undefined;
+  exchange.rolloutTarget = order?.target;
   // Keeps the session from expiring while the request may still run.
   recordSession(node, exchange, exchange.deadlineAt);
 }
@@ -297,7 +306,8 @@
   const {sessions} = node.versions;
   const key = `${exchange.service}/${exchange.caller.session}`;
   sessions.delete(key);
-  sessions.set(key, {side: exchange.side ?? Side.old, lastActiveAt});
+  const {side = Side.old, rolloutTarget: target} = exchange;
+  sessions.set(key, {side, target, lastActiveAt});
   for (const oldest of sessions.keys()) {
     if (sessions.size <= MAX_SESSION_COUNT) break;
     sessions.delete(oldest);
@@ -322,7 +332,8 @@
   const order = node.orders.get(exchange.service);
   if (!order) return !isReverted(node, exchange.service, version);
   const fresh = version === order.target;
-  if (exchange.side !== Side.fresh) return !fresh;
+  const isAssigned = exchange.rolloutTarget === order.target;
+  if (!isAssigned || exchange.side !== Side.fresh) return !fresh;
   const plan = findPlan(node, order);
   if (plan?.phase === Phase.reverted) return !fresh;
   return fresh || (plan?.phase !== Phase.complete && exchange.freshFailed);
--- a/apps/router/test/entry/rollouts.test.ts
+++ b/apps/router/test/entry/rollouts.test.ts
@@ -100,6 +100,39 @@
   t.is(movedEarly.length, 0);
 });
 
+test('a session of a completed roll-out stays on its version during the canary of the next one', async t => {
+  const site = await startRollout(t);
+  await sendUntilState(site, 'complete');
+  const next = await startRunner(site.store, 'm-0', {version: 'v3'});
+  const isOrdered = ({node}: Entry) => node.orders.get('api')?.target === 'v3';
+  const sendRound = async (name: string) => {
+    for (let index = 0; index < 40; index += 1) {
+      const headers = {session: `${name}-${index}`};
+      await call(site.entries[index % 2], {headers});
+    }
+  };
+  await sendRound('lasting');
+  site.store.put('op/rollout/api', {
+    service: 'api',
+    target: 'v3',
+    duration_s: 30,
+  });
+  next.register();
+  site.runners.push(next);
+  await until(() => site.entries.every(isOrdered));
+  const isCanary = ({node}: Entry) =>
+    node.versions.plans.get('api')?.plan.phase === 'canary';
+  await until(() => site.entries.every(isCanary));
+  for (let round = 0; round < 5; round += 1) await sendRound('lasting');
+  await sendRound('new');
+  const sessions = next.requests.map(({headers}) => String(headers.session));
+  t.true(sessions.some(session => session.startsWith('new')));
+  t.deepEqual(
+    sessions.filter(session => session.startsWith('lasting')),
+    [],
+  );
+});
+
 test('a session that changes nodes stays on the old version during the canary', async t => {
   const site = await startSite(2);
   t.teardown(() => closeSite(site));
