Tell other nodes of a crash without suspects

The end is noticed by a node that is refused a connection and has no suspect; the nodes that gave up the sends know these, but were never told of the end: the digest by which nodes compare their evidence covered suspects only, so that an end without any looked like nothing new. The digest now covers each crash. The test fails without the change.

--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -112,6 +112,7 @@
 function dropCrash(evidence: CrashEvidence, crash: KnownCrash): void {
   for (const [key, suspect] of crash.suspects)
     evidence.digest ^= hashSuspect(crash, key, suspect);
+  evidence.digest ^= hashName(crash.upstream);
   evidence.crashes.delete(crash.upstream);
 }
 
@@ -130,13 +131,14 @@
 /** Adds what one or more nodes know of a crash. */
 export function mergeCrash(evidence: CrashEvidence, crash: Crash): void {
   const {upstream, at, suspects} = crash;
-  const known = evidence.crashes.get(upstream) ?? {
-    upstream,
-    at,
-    suspects: new Map<string, Suspect>(),
-  };
+  let known = evidence.crashes.get(upstream);
+  if (!known) {
+    known = {upstream, at, suspects: new Map()};
+    evidence.crashes.set(upstream, known);
+    // Nodes that gave up sends to the upstream may know the suspects.
+    evidence.digest ^= hashName(upstream);
+  }
   known.at = Math.min(known.at, at);
-  evidence.crashes.set(upstream, known);
   for (const [key, suspect] of suspects)
     mergeSuspect(evidence, known, key, suspect);
 }
--- a/packages/policy/test/crash-evidence.test.ts
+++ b/packages/policy/test/crash-evidence.test.ts
@@ -189,6 +189,15 @@
   t.pass();
 });
 
+test('a crash without suspects changes the digest, so that other nodes learn of it', t => {
+  const evidence = evidenceOf([]);
+  const {digest} = evidence;
+  mergeCrash(evidence, crash(1_000, []));
+  t.not(evidence.digest, digest);
+  dropOldCrashes(evidence, Infinity);
+  t.is(evidence.digest, digest);
+});
+
 test('whatever sound requests run beside it, only the culprit is refused', t => {
   const sound = fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd', 'e'));
   fc.assert(
