Find the suspects of an end that is noticed long after its send was given up

No answer breaks off then, and the end is noticed when some later request is refused a connection, by when the sends that were given up over a second ago were no suspects any more.

A send given up less than a second before the last connection to its upstream is now a suspect, however late the end is noticed; and its node probes the upstream half a second after it gave the send up, unless it has connected to it since.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -23,7 +23,7 @@
 import {announceCrashes} from './crash-announcements.js';
 import {Finding, findEnd} from './end-probes.js';
 import type {Exchange} from './exchange.js';
-import type {EntryNode} from './node.js';
+import type {EntryNode, UpstreamState} from './node.js';
 
 /** Time for which an upstream that ended is ranked last: until its entry has lapsed. */
 const ENDED_BACKOFF_MS = 5_000;
@@ -32,6 +32,13 @@
  * ends may have ended under it; upstreams need not stop at once.
  */
 const ABANDONED_MS = 1_000;
+/**
+ * Longest time from the end of an upstream under such a send until a node notices it;
+ * the entry of the upstream has lapsed by then.
+ */
+const MAX_NOTICE_MS = 5_000;
+/** Time after such a send at which its upstream is probed for an end. */
+const ABANDONED_PROBE_MS = 500;
 /** Number of such sends that are remembered for one upstream. */
 const MAX_ABANDONED_COUNT = 100;
 /** Number of keys whose answers are remembered. */
@@ -64,6 +71,8 @@
   readonly probes: Map<string, Promise<Finding>>;
   /** Sends whose connections this node has closed, by incarnation of the upstream. */
   readonly abandoned: Map<string, AbandonedSend[]>;
+  /** Incarnations of upstreams that will be probed after such a send. */
+  readonly pendingProbes: Set<string>;
   /** Digest of the evidence of other nodes at the last exchange, by node. */
   readonly digests: Map<string, number>;
   /** What the store holds of culprits, by key. */
@@ -78,6 +87,7 @@
     answeredSends: new Map(),
     probes: new Map(),
     abandoned: new Map(),
+    pendingProbes: new Set(),
     digests: new Map(),
     records: new Map(),
     pendingWrites: new Set(),
@@ -218,43 +228,85 @@
   const key = incarnationKey(registered);
   const abandonedAt = node.clock();
   const recent = (abandoned.get(key) ?? []).filter(
-    send => abandonedAt - send.abandonedAt < ABANDONED_MS,
+    send => abandonedAt - send.abandonedAt < MAX_NOTICE_MS,
   );
   recent.push({keys: listKeys(exchange), startedAt, abandonedAt});
   // Re-insertion keeps the map in order of use, so old ones are dropped first.
   abandoned.delete(key);
   abandoned.set(key, recent.slice(-MAX_ABANDONED_COUNT));
   for (const [other, sends] of abandoned) {
-    if (abandonedAt - (sends.at(-1)?.abandonedAt ?? 0) < ABANDONED_MS) break;
+    if (abandonedAt - (sends.at(-1)?.abandonedAt ?? 0) < MAX_NOTICE_MS) break;
     abandoned.delete(other);
   }
   const crash = evidence.crashes.get(key);
   if (crash) addCrash(node, {...crash, suspects: new Map()});
+  else probeAfterAbandonedSend(node, registered);
 }
 
 /**
- * Called when an upstream refuses a connection. It may have ended under sends that
- * nodes gave up, so that no answer broke off.
+ * Probes an upstream some time after a send was given up, unless this node connects to
+ * it meanwhile: no answer breaks off if the upstream ends, and its end may be noticed
+ * only with the next request.
  */
-export async function recordRefusedConnection(
+function probeAfterAbandonedSend(
   node: EntryNode,
-  {registered, startedAt}: Send,
+  upstream: RegisteredUpstream,
+): void {
+  const {pendingProbes} = node.crashes;
+  const key = incarnationKey(upstream);
+  if (pendingProbes.has(key)) return;
+  pendingProbes.add(key);
+  const abandonedAt = node.clock();
+  const probeUnlessConnected = () => {
+    pendingProbes.delete(key);
+    const connectedAt = findUpstream(node, key)?.connectedAt ?? Infinity;
+    if (connectedAt <= abandonedAt) void recordPossibleEnd(node, upstream);
+  };
+  setTimeout(probeUnlessConnected, ABANDONED_PROBE_MS).unref();
+}
+
+/**
+ * Called when an upstream refuses a connection or is due for a probe. It may have ended
+ * under sends that nodes gave up, so that no answer broke off.
+ */
+export async function recordPossibleEnd(
+  node: EntryNode,
+  registered: RegisteredUpstream,
 ): Promise<void> {
+  const at = node.clock();
   const upstream = incarnationKey(registered);
   if (node.crashes.evidence.crashes.has(upstream)) return;
   const finding = await probeOnce(node, registered);
   if (finding !== Finding.ended) return;
-  addCrash(node, {upstream, at: startedAt, suspects: new Map()});
+  addCrash(node, {upstream, at, suspects: new Map()});
+}
+
+/** The registered upstream of an incarnation; `undefined` if it is no longer listed. */
+function findUpstream(
+  node: EntryNode,
+  incarnation: string,
+): UpstreamState | undefined {
+  const id = incarnation.slice(0, incarnation.lastIndexOf('@'));
+  const state = node.upstreams.get(id);
+  if (!state || incarnationKey(state.registered) !== incarnation)
+    return undefined;
+  return state;
 }
 
-/** Suspects of a crash among the sends that this node gave up. */
+/**
+ * Suspects of a crash among the sends that this node gave up. The crash may have been
+ * noticed long after it, but not before the last connection to the upstream.
+ */
 function listAbandonedSuspects(
-  {crashes: {abandoned}}: EntryNode,
+  node: EntryNode,
   {upstream, at}: Crash,
 ): Crash['suspects'] {
   const suspects = new Map<string, Suspect>();
-  for (const {keys, startedAt, abandonedAt} of abandoned.get(upstream) ?? []) {
-    if (startedAt >= at || at - abandonedAt > ABANDONED_MS) continue;
+  const sends = node.crashes.abandoned.get(upstream) ?? [];
+  const aliveAt = findUpstream(node, upstream)?.connectedAt ?? -Infinity;
+  for (const {keys, startedAt, abandonedAt} of sends) {
+    if (startedAt >= at || at - abandonedAt > MAX_NOTICE_MS) continue;
+    if (aliveAt - abandonedAt > ABANDONED_MS) continue;
     for (const [key, suspect] of createSuspects(keys, at - startedAt))
       suspects.set(key, suspect);
   }
@@ -263,11 +315,8 @@
 
 /** Ranks an upstream that ended last, as after a failed connection of this node. */
 function rankLast(node: EntryNode, {upstream, at}: Crash): void {
-  const state = node.upstreams.get(
-    upstream.slice(0, upstream.lastIndexOf('@')),
-  );
-  if (!state || incarnationKey(state.registered) !== upstream) return;
-  if (state.connectedAt > at) return;
+  const state = findUpstream(node, upstream);
+  if (!state || state.connectedAt > at) return;
   state.backoffUntil = Math.max(state.backoffUntil, at + ENDED_BACKOFF_MS);
 }
 
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -1,7 +1,7 @@
 /** Starts sends, awaits their outcomes and records them. */
 import {startAttempt, type Attempt, type Outcome} from './attempt.js';
 import {recordRefusal} from './brittle-upstreams.js';
-import {recordAbandonedSend, recordRefusedConnection} from './crashes.js';
+import {recordAbandonedSend, recordPossibleEnd} from './crashes.js';
 import {hasUntriedUpstream} from './exclusions.js';
 import {isRepeatable, isStream, priorityOf, type Exchange} from './exchange.js';
 import {recordModelTime} from './models.js';
@@ -135,7 +135,7 @@
   if (outcome.kind === 'unsent' && outcome.unreachable)
     recordFailedConnection(node, upstream, attempt.startedAt);
   if (outcome.kind === 'unsent' && outcome.refused)
-    void recordRefusedConnection(node, attempt);
+    void recordPossibleEnd(node, attempt.registered);
   if (outcome.kind === 'lost' && !outcome.closedByUpstream)
     recordAbandonedSend(node, exchange, attempt);
   recordVersionOutcome(node, exchange, upstream, {outcome, tookMs, model});
--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -144,6 +144,23 @@
   t.true(node.upstreams.get('i-0')!.backoffUntil <= node.clock());
 });
 
+test('the end of an upstream under a send whose caller left is noticed without another request', async t => {
+  const site = await startNodes(t, 1);
+  await startCrashingUpstreams(site, 2, () => true, {
+    prefillMs: () => 100,
+    restartMs: 60_000,
+  });
+  const [{node}] = site.entries;
+  await until(() => node.upstreams.size === 2);
+  const leave: Call = {
+    onSent: sent => void setTimeout(() => sent.destroy(), 50),
+  };
+  await send(site, 0, 'fatal', leave);
+  await until(() => node.crashes.evidence.crashes.size === 1);
+  const [crash] = node.crashes.evidence.crashes.values();
+  t.true(crash.suspects.size > 0);
+});
+
 test('a closed connection of an upstream that goes on serving makes no suspect', async t => {
   const site = await startNodes(t, 1);
   await startCrashingUpstreams(site, 2, () => false);
--- a/apps/router/test/entry/fatal-requests.test.ts
+++ b/apps/router/test/entry/fatal-requests.test.ts
@@ -253,6 +253,18 @@
   },
 );
 
+test.serial(
+  'a request whose callers leave is refused after the third end although the ends are noticed late',
+  async t => {
+    const load = await startLoad(t, {upstreams: 3, runMs: 800});
+    const leave: Call = {
+      onSent: sent => void setTimeout(() => sent.destroy(), RUN_MS / 2),
+    };
+    await repeat(load, 1_300, 25_000, () => 'k1', leave);
+    assertBounded(t, load);
+  },
+);
+
 test.serial(
   'sound requests find an upstream while a request ends the others',
   async t => {
