Serve a request whose trial was answered before its record leaves the store

The trial at one node was answered and told to the others with the next report of load, but the other node went by the record in the store, whose removal arrived later than the 125 ms that a request may wait for the result of a trial.

A node that knows that all ends of a culprit are cleared goes by that, and the answer of a trial is announced at once.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -9,6 +9,7 @@
   createCrashEvidence,
   createSuspects,
   dropOldCrashes,
+  isReleased,
   listCulprits,
   mergeCrash,
   Suspicion,
@@ -358,7 +359,8 @@
   const known = new Set(culprits.map(({key}) => key));
   for (const key of keys) {
     const record = known.has(key) ? undefined : records.get(key);
-    if (!record) continue;
+    // The answer of a trial is known before its record has left the store.
+    if (!record || isReleased(evidence, key)) continue;
     const lastEndAt = record.changedAt;
     culprits.push({
       suspicion: Suspicion.culprit,
@@ -392,7 +394,7 @@
   return {crashDigest, crashes: crashes.map(crash => encodeCrash(crash, now))};
 }
 
-/** Reports the crashes in which a request was not cleared. */
+/** Reports the crashes that a request is a suspect of, or was until it was answered. */
 export function reportCrashesOf(
   {crashes: {evidence}, clock}: EntryNode,
   exchange: Exchange,
@@ -400,7 +402,7 @@
   const now = clock();
   const keys = listKeys(exchange);
   const crashes = [...evidence.crashes.values()].filter(({suspects}) =>
-    keys.some(key => suspects.get(key)?.cleared === false),
+    keys.some(key => suspects.has(key)),
   );
   return {
     crashDigest: evidence.digest,
--- a/apps/router/src/entry/culprits.ts
+++ b/apps/router/src/entry/culprits.ts
@@ -7,7 +7,13 @@
 import {Doubt, nextTrialAt} from '@parsleyarch/policy/crash-trials';
 import {wait} from '@parsleyarch/lifecycle/process';
 import type {AnswerBody} from './attempt.js';
-import {listCulpritsOf, listKeys, recordAnsweredSend} from './crashes.js';
+import {announceCrashes} from './crash-announcements.js';
+import {
+  listCulpritsOf,
+  listKeys,
+  recordAnsweredSend,
+  reportCrashesOf,
+} from './crashes.js';
 import {releaseCulprits, writeRecords} from './culprit-records.js';
 import {capacityWaitMs, type Exchange} from './exchange.js';
 import {countUsableUpstreams} from './exclusions.js';
@@ -139,6 +145,8 @@
 ): void {
   if (closeDelimited) return;
   recordAnsweredSend(node, exchange, startedAt);
+  if (exchange.trialKeys)
+    void announceCrashes(node, reportCrashesOf(node, exchange));
   if (node.crashes.records.size > 0)
     void releaseCulprits(node, listKeys(exchange), startedAt);
 }
--- a/apps/router/test/entry/crashes.test.ts
+++ b/apps/router/test/entry/crashes.test.ts
@@ -125,6 +125,45 @@
     t.is((await send(site, index, 'sound')).status, 200);
 });
 
+test('a node that knows the answer of a trial serves the request before its record has left the store', async t => {
+  const site = await startNodes(t, 2);
+  const {crashes, reachability, feed} = site.entries[1].node;
+  await startCrashingUpstreams(site, 4, () => false);
+  await until(() => site.entries[0].node.upstreams.size === 4);
+  for (const runner of site.runners) runner.script = () => {};
+  const answers = Array.from({length: 12}, (_, index) =>
+    send(site, index, 'sound'),
+  );
+  await until(
+    () => site.runners.flatMap(({requests}) => requests).length === 12,
+  );
+  for (const runner of site.runners) await runner.server.stop();
+  await Promise.all(answers);
+  for (const runner of site.runners) runner.deregister();
+  await startCrashingUpstreams(site, 2, () => false);
+  await until(() => site.entries.every(({node}) => node.upstreams.size === 2));
+  t.is((await send(site, 0, 'sound')).status, 200);
+  const listSuspects = () =>
+    [...crashes.evidence.crashes.values()].map(({suspects}) => suspects);
+  const isCleared = () =>
+    listSuspects().every(suspects =>
+      [...suspects.values()].every(({cleared}) => cleared),
+    );
+  const {items} = site.store;
+  const isRemoved = () =>
+    [...items.keys()].every(key => !key.startsWith('router/culprits/'));
+  const isSettled = () =>
+    isRemoved() &&
+    reachability.cutOff.size === 0 &&
+    feed.revision === site.store.revision;
+  await until(() => isCleared() && isSettled());
+  for (const key of listSuspects()[0].keys()) {
+    const changedAt = performance.now();
+    crashes.records.set(key, {key, trialCount: 3, revision: 1, changedAt});
+  }
+  t.is((await send(site, 1, 'sound')).status, 200);
+});
+
 test('an upstream that comes back with its id is not ranked last by later reports of its end', async t => {
   const site = await startNodes(t, 1);
   const [{node}] = site.entries;
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -202,6 +202,18 @@
     : crashes.map(({at}) => at);
 }
 
+/**
+ * Whether a suspect that had ended enough upstreams for a culprit has been answered since
+ * the last of them.
+ */
+export function isReleased({crashes}: CrashEvidence, key: string): boolean {
+  const suspects = [...crashes.values()].flatMap(
+    crash => crash.suspects.get(key) ?? [],
+  );
+  if (suspects.length < CULPRIT_CRASH_COUNT) return false;
+  return suspects.every(({cleared}) => cleared);
+}
+
 export const Suspicion = {
   none: 'none',
   /** Is sent only where its next end does the least harm. */
