End a call to a source only for the node that is called

Traced: the source that was current last need not be the one that is called now. A collector of load that did not answer ended the call to another, sound source, which was then skipped, and a silent source was not left. In the test the nodes also followed before they knew each other.

The call in progress now names its source. The test waits until all members are known and the source is the one that is called; its checks are the same.

--- a/apps/router/src/entry/following.ts
+++ b/apps/router/src/entry/following.ts
@@ -10,6 +10,13 @@
 /** Pause after the first failed call to the store; doubles with each further one. */
 export const MIN_STORE_PAUSE_MS = 200;
 
+/** A call to a source, which may not be the one that was current last. */
+export interface SourceCall {
+  readonly source: string;
+  /** Ends the call early. */
+  readonly abandon: (reason: string) => void;
+}
+
 /** Where a node gets changes from. */
 export interface Following {
   /** Node that is followed; absent if the store is watched directly. */
@@ -26,8 +33,8 @@
   /** Rounds of questions to other nodes so far, and when the next one is due. */
   roundCount: number;
   nextRoundAt: number;
-  /** Ends the call to the source that is in progress, with a reason. */
-  abandon?: (reason: string) => void;
+  /** The call to a source that is in progress. */
+  call?: SourceCall;
   /** Skipped sources, with the end and the length of the skip. */
   readonly skipped: Map<string, {until: number; skipMs: number}>;
 }
--- a/apps/router/src/entry/sources.ts
+++ b/apps/router/src/entry/sources.ts
@@ -113,7 +113,8 @@
   name: string,
   reason: string,
 ): void {
-  if (node.following.source === name) node.following.abandon?.(reason);
+  const {call} = node.following;
+  if (call?.source === name) call.abandon(reason);
 }
 
 function sourceWaitMs({members}: EntryNode): number {
@@ -128,7 +129,7 @@
 function abandonWhenStale(node: EntryNode): () => void {
   const check = () => {
     if (isConfirmationStale(node))
-      return node.following.abandon?.(
+      return node.following.call?.abandon(
         'no answer before the confirmation is stale',
       );
     const untilStaleMs = staleConfirmationMs(node) - confirmationAge(node);
@@ -138,6 +139,13 @@
   return () => clearTimeout(timer);
 }
 
+/** A node that changes can be asked from. */
+export interface Source {
+  readonly name: string;
+  /** host:port of its peer listener. */
+  readonly address: string;
+}
+
 async function callSource(
   node: EntryNode,
   address: string,
@@ -159,44 +167,40 @@
 /** Calls a source; ends early if the node stops following it. */
 async function awaitSource(
   node: EntryNode,
-  address: string,
+  {name: source, address}: Source,
 ): Promise<Result<Changes, Failure>> {
   const {following} = node;
   const waitMs = sourceWaitMs(node);
   const abandoned = new Promise<Result<Changes, Failure>>(resolve => {
-    following.abandon = reason => resolve(err(failure('internal', reason)));
+    const abandon = (reason: string) =>
+      resolve(err(failure('internal', reason)));
+    following.call = {source, abandon};
   });
   const called = callSource(node, address, waitMs, waitMs + SOURCE_MARGIN_MS);
   const stopTimer = abandonWhenStale(node);
   const changes = await Promise.race([called, abandoned]);
   stopTimer();
-  following.abandon = undefined;
+  following.call = undefined;
   return changes;
 }
 
-/** A node that changes can be asked from. */
-export interface Source {
-  readonly name: string;
-  /** host:port of its peer listener. */
-  readonly address: string;
-}
-
 /** Waits for changes at a source. */
 export async function pollSource(
   node: EntryNode,
-  {name: source, address}: Source,
+  source: Source,
 ): Promise<void> {
+  const {name} = source;
   const sentAt = node.continuousClock();
-  const changes = await awaitSource(node, address);
+  const changes = await awaitSource(node, source);
   if (changes.isErr()) {
-    const lastSkipMs = node.following.skipped.get(source)?.skipMs ?? 0;
+    const lastSkipMs = node.following.skipped.get(name)?.skipMs ?? 0;
     const skipMs = Math.min(MAX_SKIP_MS, Math.max(MIN_SKIP_MS, lastSkipMs * 2));
-    return skipSource(node, source, skipMs, changes.error.message);
+    return skipSource(node, name, skipMs, changes.error.message);
   }
   const {confirmedAgeMs} = changes.value;
-  if (isCurrentAnswer(node, changes.value)) recordCurrentSource(node, source);
+  if (isCurrentAnswer(node, changes.value)) recordCurrentSource(node, name);
   else
-    skipSource(node, source, MIN_SKIP_MS, `confirmed ${confirmedAgeMs} ms ago`);
+    skipSource(node, name, MIN_SKIP_MS, `confirmed ${confirmedAgeMs} ms ago`);
   applyRelayedChanges(node, changes.value, sentAt);
 }
 
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -127,16 +127,38 @@
   configure(site, [route()]);
   for (let index = 0; index < 3; index += 1) await startNode(site);
   const {node} = site.entries[2];
+  const {following, members} = node;
   await until(
     () =>
-      node.following.source !== undefined &&
-      node.following.abandon !== undefined,
+      members.size === 3 &&
+      following.source !== undefined &&
+      following.call?.source === following.source,
   );
-  const source = node.following.source!;
+  const source = following.source!;
   leaveSource(node, source, 'no answer');
   // The skip lasts for a second, which the change of the source may exceed.
-  const isSkipped = () => node.following.skipped.has(source);
-  await until(() => isSkipped() || node.following.source !== source);
+  const isSkipped = () => following.skipped.has(source);
+  await until(() => isSkipped() || following.source !== source);
   t.true(isSkipped());
-  await until(() => node.following.source !== source);
+  await until(() => following.source !== source);
+});
+
+test('a node that does not answer ends the call to it only, not one to another source', async t => {
+  const site = await startSite(1);
+  t.teardown(() => closeSite(site));
+  configure(site, [route()]);
+  for (let index = 0; index < 3; index += 1) await startNode(site);
+  const {node} = site.entries[2];
+  const {following, members} = node;
+  await until(() => members.size === 3 && following.call !== undefined);
+  const {source} = following.call!;
+  const other = source === 'node-1' ? 'node-2' : 'node-1';
+  // The source that was current last need not be the one that is called now.
+  following.source = other;
+  leaveSource(node, other, 'no answer');
+  await new Promise(resolve => setTimeout(resolve, 20));
+  t.false(following.skipped.has(source));
+  await until(() => following.call?.source === source);
+  leaveSource(node, source, 'no answer');
+  await until(() => following.skipped.has(source));
 });
