--- a/apps/router/test/entry/regained-contact.test.ts
+++ b/apps/router/test/entry/regained-contact.test.ts
@@ -11,6 +11,7 @@
   type LinkedNode,
   type LinkedSite,
 } from './links.js';
+import {startNode} from './site.js';
 
 const DOMAIN_COUNT = 3;
 const NODE_COUNT = 9;
@@ -88,6 +89,25 @@
     }
   }));
 
+test('changes are in force in time at nodes that had no path while all others were replaced', t =>
+  checkChanges(t, async (linked, changes) => {
+    const cut = linked.nodes.slice(5);
+    const links = cut.flatMap(node => linksOf(linked, node));
+    const heal = cutLinks(links, BOTH_DIRECTIONS);
+    for (const node of linked.nodes) changes.lose(node);
+    for (const {entry} of linked.nodes.slice(0, 5)) {
+      entry.node.settings.stop.graceSeconds = 0;
+      void entry.stop();
+      await startNode(linked.site, {
+        node: `new-${entry.node.settings.node}`,
+        failureDomain: entry.node.settings.failureDomain,
+      });
+    }
+    await wait(8_000);
+    heal();
+    for (const node of cut) changes.regain(node);
+  }));
+
 test('changes are in force in time at nodes that reach the store only', t =>
   checkChanges(t, async linked => {
     const cut = linked.nodes.slice(4);
