Wait for the first load report of a newly declared upstream

Callers got 503 'no upstream can serve version:hymn-1 now' in the moment after upstreams had been declared, as a node counts one without a load report as unreachable.

A request now waits for upstreams that have not reported since they were declared, for a second after that at most.

--- a/apps/router/src/acquire.ts
+++ b/apps/router/src/acquire.ts
@@ -31,6 +31,8 @@
 /** Retry-after time for a pool without an upstream that can serve it. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 2_000;
 const DEFAULT_SERVICE_MS = 300;
+/** Time in which a newly declared upstream sends its first load report. */
+const FIRST_REPORT_MS = 1_000;
 
 /** A request for an upstream. */
 export interface AcquireRequest {
@@ -176,6 +178,23 @@
   }
 }
 
+/** Time until upstreams of the pool that are newly declared should have reported. */
+function firstReportWaitMs(
+  node: RouterNode,
+  {requirements}: AcquireRequest,
+): number {
+  let waitMs = 0;
+  for (const view of viewUpstreams(node)) {
+    const upstream = node.upstreams.get(view.name);
+    if (!upstream || upstream.incarnation !== 0) continue;
+    const reported = {...view, spec: upstream.spec, reachable: true};
+    if (!canServe(reported, requirements)) continue;
+    const dueAt = upstream.declaredAt + FIRST_REPORT_MS;
+    waitMs = Math.max(waitMs, dueAt - node.clock());
+  }
+  return waitMs;
+}
+
 /**
  * Acquires an upstream. Fails at once if nothing can serve the pool, or if the
  * wait would be too long.
@@ -190,6 +209,13 @@
     if (acquired.value) return ok(acquired.value);
   }
   const load = measureLoad(node, request);
+  const reportWaitMs = load ? 0 : firstReportWaitMs(node, request);
+  if (reportWaitMs > 0)
+    return waitInQueue(
+      node,
+      request,
+      Math.min(reportWaitMs, request.deadlineMs),
+    );
   if (!load) {
     return err(
       failure('no-upstream', `no upstream can serve ${request.pool} now`, {
--- a/apps/router/src/node.ts
+++ b/apps/router/src/node.ts
@@ -77,6 +77,8 @@
 export interface UpstreamState {
   readonly name: string;
   spec: UpstreamSpec;
+  /** When this node learned of it, monotonic milliseconds. */
+  readonly declaredAt: number;
   /** Last load report; absent while the report stream is down. */
   report?: EngineReport;
   /** Latest incarnation seen; kept while the report stream is down. */
--- a/apps/router/src/upstreams.ts
+++ b/apps/router/src/upstreams.ts
@@ -19,10 +19,15 @@
 const SERVICE_TIME_SMOOTHING_RATIO = 0.1;
 const INITIAL_SERVICE_MS = 300;
 
-function createUpstream(name: string, spec: UpstreamSpec): UpstreamState {
+function createUpstream(
+  name: string,
+  spec: UpstreamSpec,
+  declaredAt: number,
+): UpstreamState {
   return {
     name,
     spec,
+    declaredAt,
     incarnation: 0,
     running: new Map(),
     brokenRequests: [],
@@ -109,7 +114,7 @@
       continue;
     }
     known?.abortController.abort();
-    const upstream = createUpstream(name, spec);
+    const upstream = createUpstream(name, spec, node.clock());
     node.upstreams.set(name, upstream);
     void followReports(node, upstream);
   }
