--- a/apps/router/src/entry/rollout-view.ts
+++ b/apps/router/src/entry/rollout-view.ts
@@ -48,11 +48,19 @@
   return tallies.filter(tally => tally !== worst);
 }
 
-function subtract(later: VersionTally, earlier: VersionTally): VersionTally {
-  const difference = (signal: keyof VersionTally) => ({
-    seen: Math.max(0, later[signal].seen - earlier[signal].seen),
-    bad: Math.max(0, later[signal].bad - earlier[signal].bad),
-  });
+/**
+ * Counts since an earlier view. Those of a node that has left meanwhile are missing in
+ * the later one, so that more bad outcomes than requests may seem to be new.
+ */
+export function subtractTally(
+  later: VersionTally,
+  earlier: VersionTally,
+): VersionTally {
+  const difference = (signal: keyof VersionTally) => {
+    const seen = Math.max(0, later[signal].seen - earlier[signal].seen);
+    const bad = Math.max(0, later[signal].bad - earlier[signal].bad);
+    return {seen, bad: Math.min(seen, bad)};
+  };
   return {
     error: difference('error'),
     latency: difference('latency'),
@@ -72,7 +80,7 @@
   snapshots.push({takenAt: now, tally});
   while (snapshots.length > 1 && snapshots[1].takenAt < now - RECENT_WINDOW_MS)
     snapshots.shift();
-  return subtract(tally, snapshots[0].tally);
+  return subtractTally(tally, snapshots[0].tally);
 }
 
 function countReady(node: EntryNode, order: KnownOrder) {
