Give large failure domains a watcher for each 40 nodes

One node of each failure domain watched the store for all of its domain and added up their load. A domain now has a further watcher for each 40 nodes, and its nodes begin with different ones. Where domains have up to 40 nodes nothing changes but the second watcher of a single domain, which half of its nodes follow. The new test fails without either part.

--- a/packages/policy/src/watchers.ts
+++ b/packages/policy/src/watchers.ts
@@ -1,9 +1,10 @@
 /**
  * Selection of the nodes that watch the store directly. To limit calls to the
  * store, one node of each failure domain watches it and the others follow that
- * node; the calls then scale with the domains, not with the nodes. Pure
- * functions only.
+ * node; large domains have further ones, so that the load of a watcher does not
+ * grow with the deployment. Pure functions only.
  */
+import {hashName} from './rendezvous.js';
 
 /** A registered node. */
 export interface ListedNode {
@@ -13,21 +14,33 @@
 
 /** Minimum number of watchers, so that one may fail. */
 const MIN_WATCHER_COUNT = 2;
+/** Nodes of a failure domain for which one watcher is enough. */
+const MAX_NODES_PER_WATCHER = 40;
 
 function byName(a: ListedNode, b: ListedNode): number {
   return a.name < b.name ? -1 : 1;
 }
 
-/** The first node of each failure domain by name, filled up to the minimum. */
+function countByDomain(nodes: readonly ListedNode[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const {failureDomain} of nodes)
+    counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1);
+  return counts;
+}
+
+/** The first nodes of each failure domain by name, filled up to the minimum. */
 export function listWatchers(nodes: Iterable<ListedNode>): ListedNode[] {
   const sorted = [...nodes].sort(byName);
-  const domains = new Set<string>();
+  const sizes = countByDomain(sorted);
+  const chosen = new Map<string, number>();
   const watchers: ListedNode[] = [];
   const others: ListedNode[] = [];
   for (const node of sorted) {
-    const isFirst = !domains.has(node.failureDomain);
-    domains.add(node.failureDomain);
-    (isFirst ? watchers : others).push(node);
+    const {failureDomain} = node;
+    const count = chosen.get(failureDomain) ?? 0;
+    const isWatcher = count * MAX_NODES_PER_WATCHER < sizes.get(failureDomain)!;
+    if (isWatcher) chosen.set(failureDomain, count + 1);
+    (isWatcher ? watchers : others).push(node);
   }
   const missing = Math.max(0, MIN_WATCHER_COUNT - watchers.length);
   return [...watchers, ...others.slice(0, missing)];
@@ -46,7 +59,10 @@
   return orderByDomain(watchers, self).map(({name}) => name);
 }
 
-/** Puts the nodes in the failure domain of `self` before the others. */
+/**
+ * Puts the nodes in the failure domain of `self` before the others. Nodes begin with
+ * different ones of their domain, so that these share the load.
+ */
 export function orderByDomain(
   nodes: readonly ListedNode[],
   self: ListedNode,
@@ -54,5 +70,7 @@
   const isSameDomain = ({failureDomain}: ListedNode) =>
     failureDomain === self.failureDomain;
   const otherDomains = nodes.filter(node => !isSameDomain(node));
-  return [...nodes.filter(isSameDomain), ...otherDomains];
+  const own = nodes.filter(isSameDomain);
+  const first = own.length > 0 ? (hashName(self.name) >>> 0) % own.length : 0;
+  return [...own.slice(first), ...own.slice(0, first), ...otherDomains];
 }
--- a/packages/policy/test/load-sharing.test.ts
+++ b/packages/policy/test/load-sharing.test.ts
@@ -6,6 +6,9 @@
 import {reportIntervalMs} from '@parsleyarch/policy/report-times';
 import test from 'ava';
 
+/** Nodes for which one watcher is enough. */
+const MAX_FOLLOWERS = 40;
+
 function listNodes(count: number, domains: number) {
   return Array.from({length: count}, (_, index) => ({
     name: `node-${String(index).padStart(3, '0')}`,
@@ -56,6 +59,19 @@
   t.deepEqual(byDomains, Array(3).fill((nodesPerDomain - 1) * 2.5));
 });
 
+test('a collector has a bounded number of followers, however few domains there are', t => {
+  for (const domains of [1, 2, 3, 5]) {
+    const nodes = listNodes(195, domains);
+    const followers = new Map<string, number>();
+    for (const node of nodes) {
+      const [collector] = listCollectors(nodes, node);
+      followers.set(collector, (followers.get(collector) ?? 0) + 1);
+    }
+    t.true(Math.max(...followers.values()) <= 2 * MAX_FOLLOWERS);
+    t.true(followers.size <= domains + 195 / MAX_FOLLOWERS);
+  }
+});
+
 test('a node reports less often in a larger deployment, within bounds', t => {
   for (const interval of [shareIntervalMs, reportIntervalMs]) {
     let last = 0;
