Spare followers of a sound source the search through all members

Whether a node has to call the store was decided six times a second by sorting all members twice, 0.055 ms each with 195 nodes (measured by itself), 0.07% of a core on each node. A node whose call to a source is in progress need not look; nor does one failed call to the store keep a follower looking after it follows a source again.

--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -17,8 +17,11 @@
 
 /** Whether this node has to call the store itself. */
 function needsStore(node: EntryNode): boolean {
-  if (isWatcher(node) || isConfirmationStale(node)) return true;
-  return findSource(node) === undefined;
+  if (isConfirmationStale(node)) return true;
+  const {call, storeFailing} = node.following;
+  // Spares nodes that follow a sound source the search through all members.
+  if (call && !storeFailing) return false;
+  return isWatcher(node) || findSource(node) === undefined;
 }
 
 async function followStoreOnce(node: EntryNode): Promise<void> {
--- a/apps/router/src/entry/sources.ts
+++ b/apps/router/src/entry/sources.ts
@@ -15,6 +15,7 @@
 import {applyChanges, replaceItems, staleConfirmationMs} from './feed.js';
 import {
   isConfirmationStale,
+  isWatcher,
   listCandidateSources,
   recordConfirmation,
   recordPeerAnswer,
@@ -205,7 +206,10 @@
 }
 
 function recordCurrentSource(node: EntryNode, source: string): void {
-  node.following.skipped.delete(source);
+  const {following} = node;
+  following.skipped.delete(source);
+  if (following.storeFailing && !isWatcher(node))
+    following.storeFailing = false;
   updateStoreLost(node, false);
   updateSource(node, source);
 }
