--- a/review/standins/crashing-part.mjs
+++ b/review/standins/crashing-part.mjs
@@ -7,7 +7,7 @@
 import process from 'node:process';
 import {clearTimeout, setTimeout} from 'node:timers';
 import {createSeal} from '../../apps/standins/src/runner.ts';
-import {createRecord, send, startSite, TROUBLE, wait} from './site.mjs';
+import {send, startSite, TROUBLE, wait} from './site.mjs';
 
 const HOST = 'hymns.example';
 const ZONES = ['bayanzurkh', 'sukhbaatar', 'khan-uul'];
@@ -102,9 +102,8 @@
  * Plays the traffic and returns whether the rule was broken. `crashingMs` is how long
  * the requests with the crashing part come, and `endMs` how long the sound ones do.
  */
-export async function playCrashingPart(recordFile, options) {
+export async function playCrashingPart(record, options) {
   const {timeoutMs, crashingMs, endMs} = options;
-  const record = createRecord(recordFile);
   const runners = {};
   for (let i = 1; i <= RUNNER_COUNT; i += 1)
     runners[`i-${i}`] = {
