Replace a bundle as a whole when it is built again

Seen: a node that starts while another build writes its bundle ends with a syntax error. Cause: the bundle was written in place. It is written beside now and renamed.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,5 +1,7 @@
 // Bundles the router and the stand-ins into one CommonJS file each.
 // Usage: node tools/bundle.mjs [folder [program]]
+import {renameSync} from 'node:fs';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 const PROGRAMS = {
@@ -11,9 +13,11 @@
 
 for (const [name, entry] of Object.entries(PROGRAMS)) {
   if (only && name !== only) continue;
+  const outfile = `${folder}/${name}.cjs`;
+  const unfinished = `${outfile}.${process.pid}`;
   await build({
     entryPoints: [entry],
-    outfile: `${folder}/${name}.cjs`,
+    outfile: unfinished,
     bundle: true,
     platform: 'node',
     target: 'node20',
@@ -27,4 +31,6 @@
     logLevel: 'warning',
     logOverride: {'empty-import-meta': 'silent'},
   });
+  // A process that starts meanwhile reads the former bundle or this one as a whole.
+  renameSync(unfinished, outfile);
 }
