Permit each run of a request, so that a lost delegation is not followed by a send

Cause: reserveSend allowed the first send of a node before it looked at runs, and a delegation was no send. So a node whose delegate had lost the answer sent the request itself once its own cut had ended. The number of runs was kept by hand in five places. The same state followed from a delegate's answer that ended early, and a repeatable request exceeded its attempts (3 runs of 2).

Change: a request has one record of its runs; a send or delegation takes a permit from it, which counts until the receiver is known not to have run the request. attempt lines name runsBefore and delegated.

Ruled out: a second run by the delegate itself (one run in each trace); an earlier release's 503 taken for not run (both nodes ran this code).

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -5,6 +5,7 @@
   type UpstreamAnswer,
   type UpstreamRequest,
 } from '@parsleyarch/platform/headers';
+import type {RunPermit} from '@parsleyarch/policy/runs';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import * as http from 'node:http';
 import type {EntryNode, UpstreamState} from './node.js';
@@ -75,6 +76,8 @@
 
 /** A send in progress. */
 export interface Attempt extends Send {
+  /** Permit under which the request was sent. */
+  readonly permit: RunPermit;
   readonly upstream: UpstreamState;
   /** Work at the upstream at the time of the send, including its own. */
   readonly upstreamWork: number;
@@ -155,6 +158,7 @@
 export function startAttempt(
   node: EntryNode,
   exchange: Exchange,
+  permit: RunPermit,
   {upstream, addedWork, presentWork}: Selection,
   request: UpstreamRequest,
 ): Attempt {
@@ -232,6 +236,7 @@
   const upstreamWork = presentWork + addedWork;
   return {
     ...send,
+    permit,
     upstream,
     upstreamWork,
     outcome,
--- a/apps/router/src/entry/culprits.ts
+++ b/apps/router/src/entry/culprits.ts
@@ -5,6 +5,7 @@
  */
 import type {Assessment} from '@parsleyarch/policy/crash-evidence';
 import {Doubt, nextTrialAt} from '@parsleyarch/policy/crash-trials';
+import {countRuns} from '@parsleyarch/policy/runs';
 import {wait} from '@parsleyarch/lifecycle/process';
 import type {AnswerBody} from './attempt.js';
 import {announceCrashes} from './crash-announcements.js';
@@ -78,7 +79,7 @@
   if (exchange.trialKeys) return;
   const waitUntil = node.clock() + capacityWaitMs(exchange);
   let isTaken = false;
-  while (!exchange.ended && exchange.runs === 0) {
+  while (!exchange.ended && countRuns(exchange.runs) === 0) {
     const culprits = listCulpritsOf(node, exchange);
     if (culprits.length === 0) return;
     const keys = culprits.map(({key}) => key);
@@ -108,7 +109,7 @@
   const culprits = listCulpritsOf(node, exchange);
   if (culprits.length === 0) return undefined;
   const isTrial =
-    exchange.runs === 0 &&
+    countRuns(exchange.runs) === 0 &&
     culprits.every(({key}) => exchange.trialKeys?.includes(key));
   const [{key, endCount, lastEndAt}] = culprits;
   node.logDecision('culprit', {
--- a/apps/router/src/entry/delegation.ts
+++ b/apps/router/src/entry/delegation.ts
@@ -16,10 +16,16 @@
   type UpstreamAnswer,
 } from '@parsleyarch/platform/headers';
 import {isSameKey, PEER_KEY_FIELD} from '@parsleyarch/peer/server';
+import {
+  findRunDenial,
+  permitRemainingRuns,
+  returnPermit,
+  type RunPermit,
+} from '@parsleyarch/policy/runs';
 import {chooseDelegate} from '@parsleyarch/policy/reachability';
 import * as http from 'node:http';
 import {CONNECT_TIMEOUT_MS} from './attempt.js';
-import {isRepeatable, isStream, type Exchange} from './exchange.js';
+import {isStream, type Exchange} from './exchange.js';
 import type {EntryNode, Member} from './node.js';
 import {isCutOff} from './reachability.js';
 import {FAILURE_FIELD, readAnswerBody, writeBytes, writeHead} from './relay.js';
@@ -61,11 +67,9 @@
     };
 
 function canDelegate(node: EntryNode, exchange: Exchange): boolean {
-  const {isDelegated, runs, route, triedDelegates, service} = exchange;
+  const {isDelegated, runs, triedDelegates, service} = exchange;
   if (isDelegated || triedDelegates.size >= MAX_DELEGATE_COUNT) return false;
-  if (runs >= route.maxAttempts) return false;
-  if (runs > 0 && !isRepeatable(exchange)) return false;
-  return isCutOff(node, service);
+  return findRunDenial(runs) === undefined && isCutOff(node, service);
 }
 
 function mayServe(
@@ -92,15 +96,19 @@
   return chooseDelegate(candidates, node.settings.failureDomain, node.random);
 }
 
-function buildHeaders(node: EntryNode, exchange: Exchange): string[] {
-  const {request, route, runs, body, deadlineAt} = exchange;
+function buildHeaders(
+  node: EntryNode,
+  exchange: Exchange,
+  {runs}: RunPermit,
+): string[] {
+  const {request, body, deadlineAt} = exchange;
   const headers = writeDelegatedHeaders(
     request.rawHeaders,
     deadlineAt - node.clock(),
     DELEGATION_FIELDS,
   );
   headers.push(PEER_KEY_FIELD, node.peers.key ?? '');
-  headers.push(ATTEMPTS_FIELD, String(route.maxAttempts - runs));
+  headers.push(ATTEMPTS_FIELD, String(runs));
   headers.push(CONFIGURATION_FIELD, String(exchange.configuration));
   if (body.length > 0 || exchange.hasBody)
     headers.push('content-length', String(body.length));
@@ -142,6 +150,7 @@
 function sendToDelegate(
   node: EntryNode,
   exchange: Exchange,
+  permit: RunPermit,
   address: string,
 ): Promise<DelegateOutcome> {
   const [host, port] = address.split(':');
@@ -151,7 +160,7 @@
     method: exchange.method,
     path: exchange.target,
     agent: node.peerAgent,
-    headers: buildHeaders(node, exchange),
+    headers: buildHeaders(node, exchange, permit),
     setHost: false,
   });
   let connected = false;
@@ -237,12 +246,13 @@
   {name, delegation = ''}: Member,
 ): Promise<string | undefined> {
   const startedAt = node.clock();
-  const {runs, route} = exchange;
   exchange.triedDelegates.add(name);
-  // The delegate may use all attempts that are left.
-  const outcome = await sendToDelegate(node, exchange, delegation);
-  if (outcome.kind === 'answer' || outcome.kind === 'lost')
-    exchange.runs = route.maxAttempts;
+  const permitted = permitRemainingRuns(exchange.runs);
+  if (permitted.isErr()) return permitted.error;
+  const permit = permitted.value;
+  const outcome = await sendToDelegate(node, exchange, permit, delegation);
+  if (outcome.kind === 'not run' || outcome.kind === 'refused')
+    returnPermit(exchange.runs, permit);
   const reason = 'reason' in outcome ? outcome.reason : undefined;
   node.metrics.delegations.inc({outcome: outcome.kind});
   node.logDecision('delegate', {
@@ -253,7 +263,7 @@
     status: 'answer' in outcome ? outcome.answer.status : undefined,
     reason,
     refusal: 'problem' in outcome ? outcome.problem.kind : undefined,
-    runsBefore: runs,
+    runsBefore: permit.runsBefore,
     tookMs: Math.round(node.clock() - startedAt),
   });
   if (exchange.ended) {
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -5,6 +5,7 @@
  */
 import {failure, type Failure} from '@parsleyarch/errors/failure';
 import {wait} from '@parsleyarch/lifecycle/process';
+import {returnPermit} from '@parsleyarch/policy/runs';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {AnswerBody, Outcome} from './attempt.js';
 import {
@@ -170,13 +171,11 @@
 };
 
 const OUTCOME_HANDLERS: OutcomeHandlers = {
-  unsent: (_node, exchange, progress, {reason}) => {
-    exchange.runs -= 1;
+  unsent: (_node, _exchange, progress, {reason}) => {
     progress.reason = reason;
     return Step.retry;
   },
-  refused: (_node, exchange, progress, {answer}) => {
-    exchange.runs -= 1;
+  refused: (_node, _exchange, progress, {answer}) => {
     progress.reason = `upstream refused with ${answer.status}`;
     return Step.retry;
   },
@@ -205,18 +204,25 @@
 ): Promise<Step> {
   await claimTrial(node, exchange);
   if (exchange.ended) return Step.done;
-  const denial = reserveSend(node, exchange);
-  if (denial) {
-    progress.reason = `${denial} (${progress.reason})`;
+  const permit = reserveSend(node, exchange);
+  if (permit.isErr()) {
+    progress.reason = `${permit.error} (${progress.reason})`;
     return Step.stop;
   }
   const selection = await waitForUpstream(node, exchange, progress.model);
+  if (exchange.ended || !selection) returnPermit(exchange.runs, permit.value);
   if (exchange.ended) return Step.done;
   if (!selection) {
     progress.reason = `no upstream (${progress.reason})`;
     return Step.stop;
   }
-  const attempt = startSend(node, exchange, selection, progress.model);
+  const attempt = startSend(
+    node,
+    exchange,
+    permit.value,
+    selection,
+    progress.model,
+  );
   const outcome = await awaitOutcome(node, exchange, attempt);
   recordOutcome(node, exchange, attempt, outcome, progress.model);
   if (outcome.kind === 'lost' && outcome.closedByUpstream)
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -10,6 +10,7 @@
   type CallerRequest,
 } from '@parsleyarch/platform/headers';
 import {authorizeKey, drawService, findRoute} from '@parsleyarch/policy/routes';
+import {createRunRecord, type RunRecord} from '@parsleyarch/policy/runs';
 import {
   Repeatability,
   type KeyHolder,
@@ -51,8 +52,8 @@
   arrivals: number;
   /** When the send in progress was counted as a retry; absent if it was not. */
   retryCountedAt?: number;
-  /** Sends that upstreams may have run. */
-  runs: number;
+  /** Which sends may have run it, at upstreams and at delegates. */
+  readonly runs: RunRecord;
   /** Ids of the upstreams to which it was sent. */
   readonly triedUpstreams: Set<string>;
   /** Whether another node has delegated it to this one. */
@@ -77,12 +78,14 @@
   cancel?: (reason: string) => void;
 }
 
+const REPEATABLE: ReadonlySet<Repeatability> = new Set([
+  Repeatability.idempotent,
+  Repeatability.resumable,
+]);
+
 /** Whether the request may run more than once. */
-export function isRepeatable({route}: Exchange): boolean {
-  return (
-    route.repeatability === Repeatability.idempotent ||
-    route.repeatability === Repeatability.resumable
-  );
+export function isRepeatable({runs}: Exchange): boolean {
+  return runs.repeatable;
 }
 
 /** Whether the answer is a stream of events. */
@@ -191,8 +194,10 @@
     body: Buffer.alloc(0),
     sends: 0,
     arrivals: 0,
-    // Attempts that another node has used count here as well.
-    runs: delegation ? Math.max(0, route.maxAttempts - delegation.attempts) : 0,
+    runs: createRunRecord(
+      REPEATABLE.has(route.repeatability),
+      Math.min(route.maxAttempts, delegation?.attempts ?? Infinity),
+    ),
     triedUpstreams: new Set(),
     isDelegated: delegation !== undefined,
     triedDelegates: new Set(),
--- a/apps/router/src/entry/reply.ts
+++ b/apps/router/src/entry/reply.ts
@@ -5,6 +5,7 @@
   type Failure,
 } from '@parsleyarch/errors/failure';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
+import {countRuns} from '@parsleyarch/policy/runs';
 import type {ServerResponse} from 'node:http';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
@@ -62,7 +63,7 @@
     status,
     reason,
     sends,
-    runs,
+    runs: countRuns(runs),
     tookMs: Math.round(node.clock() - startedAt),
   });
 }
--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -8,8 +8,15 @@
   returnRetry,
   type RetryWindow,
 } from '@parsleyarch/policy/retry-window';
+import {
+  countRuns,
+  findRunDenial,
+  permitRun,
+  type RunPermit,
+} from '@parsleyarch/policy/runs';
+import {err, type Result} from 'neverthrow';
 import {findCrashDenial} from './culprits.js';
-import {isRepeatable, type Exchange} from './exchange.js';
+import type {Exchange} from './exchange.js';
 import {hasUntriedUpstream} from './exclusions.js';
 import type {EntryNode} from './node.js';
 
@@ -36,20 +43,12 @@
 
 /** Whether an upstream may have run the request. */
 export function mayHaveRun(exchange: Exchange): boolean {
-  return exchange.runs > 0;
+  return countRuns(exchange.runs) > 0;
 }
 
-/**
- * Counts a send in the retry budget if the request may be sent; otherwise
- * returns the reason why not.
- */
-export function reserveSend(
-  node: EntryNode,
-  exchange: Exchange,
-): string | undefined {
-  const {sends, runs, route} = exchange;
-  const crashDenial = findCrashDenial(node, exchange);
-  if (crashDenial) return crashDenial;
+/** Counts a send in the retry budget; returns the reason if the budget forbids it. */
+function countSend(node: EntryNode, exchange: Exchange): string | undefined {
+  const {sends, route} = exchange;
   const window = getRetryWindow(node, exchange.service);
   const now = node.clock();
   exchange.retryCountedAt = undefined;
@@ -57,9 +56,6 @@
     countFirstSend(window, now);
     return undefined;
   }
-  if (mayHaveRun(exchange) && !isRepeatable(exchange))
-    return 'may not be repeated';
-  if (runs >= route.maxAttempts) return 'no attempts left';
   if (sends >= route.maxAttempts + MAX_REFUSED_SEND_COUNT)
     return 'too many sends refused';
   // The budget counts arrivals beyond the first one of a request.
@@ -69,6 +65,18 @@
   return undefined;
 }
 
+/** Permits a send to an upstream, or returns the reason why it must not take place. */
+export function reserveSend(
+  node: EntryNode,
+  exchange: Exchange,
+): Result<RunPermit, string> {
+  const denial =
+    findCrashDenial(node, exchange) ??
+    findRunDenial(exchange.runs) ??
+    countSend(node, exchange);
+  return denial === undefined ? permitRun(exchange.runs) : err(denial);
+}
+
 /** Counts a send that has reached its upstream, or returns the retry of one that has not. */
 export function recordArrival(
   node: EntryNode,
@@ -85,7 +93,7 @@
 }
 
 function hasAttemptLeft(exchange: Exchange): boolean {
-  return isRepeatable(exchange) && exchange.runs < exchange.route.maxAttempts;
+  return findRunDenial(exchange.runs) === undefined;
 }
 
 /** Whether a request that may have run may be sent once more. */
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -1,9 +1,14 @@
 /** Starts sends, awaits their outcomes and records them. */
+import {
+  findRunDenial,
+  returnPermit,
+  type RunPermit,
+} from '@parsleyarch/policy/runs';
 import {startAttempt, type Attempt, type Outcome} from './attempt.js';
 import {recordRefusal} from './brittle-upstreams.js';
 import {recordAbandonedSend, recordPossibleEnd} from './crashes.js';
 import {hasUntriedUpstream} from './exclusions.js';
-import {isRepeatable, isStream, priorityOf, type Exchange} from './exchange.js';
+import {isStream, priorityOf, type Exchange} from './exchange.js';
 import {recordModelTime} from './models.js';
 import type {EntryNode} from './node.js';
 import {recordNotice} from './notices.js';
@@ -43,9 +48,11 @@
   return base + Math.min(PRIORITY_LEVEL_COUNT - 1, priority);
 }
 
+/** Sends a request to the selected upstream under a permit for one run. */
 export function startSend(
   node: EntryNode,
   exchange: Exchange,
+  permit: RunPermit,
   selection: Selection,
   model: string | undefined,
   lastEventId?: string,
@@ -53,10 +60,9 @@
   const {upstream} = selection;
   const {id} = upstream.registered;
   exchange.sends += 1;
-  exchange.runs += 1;
   exchange.triedUpstreams.add(id);
   recordSend(node, upstream, exchange, model);
-  const attempt = startAttempt(node, exchange, selection, {
+  const attempt = startAttempt(node, exchange, permit, selection, {
     upstream: id,
     customer: exchange.customer?.name,
     deadlineMs: Math.floor(exchange.deadlineAt - node.clock()),
@@ -77,8 +83,8 @@
   exchange: Exchange,
   attempt: Attempt,
 ): Promise<Outcome> {
-  const {objectiveMs, maxAttempts} = exchange.route;
-  const canRetry = isRepeatable(exchange) && exchange.runs < maxAttempts;
+  const {objectiveMs} = exchange.route;
+  const canRetry = findRunDenial(exchange.runs) === undefined;
   const timers: NodeJS.Timeout[] = [];
   if (canRetry) {
     const cancelIfUnresponsive = () => {
@@ -114,6 +120,8 @@
   const tookMs = node.clock() - attempt.startedAt;
   node.metrics.attempts.inc({service: exchange.service, outcome: outcome.kind});
   recordArrival(node, exchange, outcome.kind !== 'unsent');
+  if (outcome.kind === 'unsent' || outcome.kind === 'refused')
+    returnPermit(exchange.runs, attempt.permit);
   if (outcome.kind === 'answer' || outcome.kind === 'refused') {
     upstream.lastAnswerAt = node.clock();
     recordNotice(node, attempt.registered, outcome.answer);
@@ -143,6 +151,8 @@
     requestId: exchange.caller.attemptId,
     upstream: upstream.registered.id,
     version: upstream.registered.version,
+    runsBefore: attempt.permit.runsBefore,
+    delegated: exchange.isDelegated || undefined,
     outcome: outcome.kind,
     status: 'answer' in outcome ? outcome.answer.status : undefined,
     confidence: 'answer' in outcome ? outcome.answer.confidence : undefined,
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -1,5 +1,6 @@
 /** Relays event streams and resumes them at another upstream if they break. */
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
+import {returnPermit} from '@parsleyarch/policy/runs';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
 import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
@@ -115,17 +116,25 @@
   lastEventId: string,
 ): Promise<AnswerBody | undefined> {
   while (!exchange.ended && isRepeatable(exchange)) {
-    const denial = reserveSend(node, exchange);
-    if (denial) return undefined;
+    const permit = reserveSend(node, exchange);
+    if (permit.isErr()) return undefined;
     const selection = selectUpstream(node, exchange, model);
-    if (!selection) return undefined;
-    const attempt = startSend(node, exchange, selection, model, lastEventId);
+    if (!selection) {
+      returnPermit(exchange.runs, permit.value);
+      return undefined;
+    }
+    const attempt = startSend(
+      node,
+      exchange,
+      permit.value,
+      selection,
+      model,
+      lastEventId,
+    );
     const outcome = await awaitOutcome(node, exchange, attempt);
     recordOutcome(node, exchange, attempt, outcome, model);
     if (outcome.kind === 'lost' && outcome.closedByUpstream)
       await recordBrokenAnswer(node, exchange, attempt);
-    if (outcome.kind === 'refused' || outcome.kind === 'unsent')
-      exchange.runs -= 1;
     if (outcome.kind !== 'answer') continue;
     const {status, mediaType} = outcome.answer;
     const isSuccess = status >= 200 && status < 300;
