Take an event, and an answer whose upstream lives on, for a proof that a request is sound

Cause, first of two: a stream cleared the suspects only at its end, and an answer that ends with its connection, or with another status than a success, never did.

Change: an event that follows the first one by 50 ms is the proof; a complete answer is one whatever its status, unless it states 'not run' or is a failure of the upstream; one that ends with its connection is a proof once the upstream accepts a connection after it.

Ruled out: that the upstreams were not back (all of them were after 3 s).

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -22,7 +22,7 @@
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
 import type {Send} from './attempt.js';
 import {announceCrashes} from './crash-announcements.js';
-import {Finding, findEnd} from './end-probes.js';
+import {Finding, findEnd, LISTENER_CLOSE_MS} from './end-probes.js';
 import type {Exchange} from './exchange.js';
 import type {EntryNode, UpstreamState} from './node.js';
 
@@ -294,6 +294,16 @@
   return state;
 }
 
+/** Whether this node has connected to an incarnation of an upstream after a time. */
+export function hasAcceptedSince(
+  node: EntryNode,
+  registered: RegisteredUpstream,
+  since: number,
+): boolean {
+  const state = findUpstream(node, incarnationKey(registered));
+  return state !== undefined && state.connectedAt > since + LISTENER_CLOSE_MS;
+}
+
 /**
  * Suspects of a crash among the sends that this node gave up. The crash may have been
  * noticed long after it, but not before the last connection to the upstream.
--- a/apps/router/src/entry/culprits.ts
+++ b/apps/router/src/entry/culprits.ts
@@ -7,15 +7,8 @@
 import {Doubt, nextTrialAt} from '@parsleyarch/policy/crash-trials';
 import {countRuns} from '@parsleyarch/policy/runs';
 import {wait} from '@parsleyarch/lifecycle/process';
-import type {AnswerBody} from './attempt.js';
-import {announceCrashes} from './crash-announcements.js';
-import {
-  listCulpritsOf,
-  listKeys,
-  recordAnsweredSend,
-  reportCrashesOf,
-} from './crashes.js';
-import {releaseCulprits, writeRecords} from './culprit-records.js';
+import {listCulpritsOf} from './crashes.js';
+import {writeRecords} from './culprit-records.js';
 import {capacityWaitMs, type Exchange} from './exchange.js';
 import {countUsableUpstreams} from './exclusions.js';
 import type {EntryNode} from './node.js';
@@ -134,20 +127,3 @@
   const untilDueMs = Math.max(MIN_RETRY_AFTER_MS, dueAt - node.clock());
   return Math.min(MAX_RETRY_AFTER_MS, untilDueMs);
 }
-
-/**
- * Called when an upstream has completed a successful answer. One that ends with its
- * connection may have been cut off by a crash.
- */
-export function recordSurvival(
-  node: EntryNode,
-  exchange: Exchange,
-  {closeDelimited, send: {startedAt}}: AnswerBody,
-): void {
-  if (closeDelimited) return;
-  recordAnsweredSend(node, exchange, startedAt);
-  if (exchange.trialKeys)
-    void announceCrashes(node, reportCrashesOf(node, exchange));
-  if (node.crashes.records.size > 0)
-    void releaseCulprits(node, listKeys(exchange), startedAt);
-}
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -19,7 +19,7 @@
 import type {EntryNode} from './node.js';
 import {delegate, selectDelegate} from './delegation.js';
 import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
-import {claimTrial, findRefusalMs, recordSurvival} from './culprits.js';
+import {claimTrial, findRefusalMs} from './culprits.js';
 import {isCutOff} from './reachability.js';
 import {readAnswerBody} from './relay.js';
 import {endWithAnswer, endWithFailure, type BufferedAnswer} from './reply.js';
@@ -28,6 +28,7 @@
 import {selectUpstream, type Selection} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
 import {relayStream} from './streaming.js';
+import {recordCompleteAnswer} from './survival.js';
 import {assignSide, recordSessionEnd} from './versions.js';
 import {recordDroppedStream} from './version-tallies.js';
 
@@ -75,6 +76,11 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Whether an upstream gives a status only once it has run the request. */
+function provesRun(status: number): boolean {
+  return status < 500 && !NOT_RUN_STATUSES.has(status);
+}
+
 async function handleBufferedAnswer(
   node: EntryNode,
   exchange: Exchange,
@@ -88,7 +94,7 @@
     progress.reason = 'answer ended early or was too large';
     return Step.retry;
   }
-  if (answer.status < 300) recordSurvival(node, exchange, incoming);
+  if (provesRun(answer.status)) recordCompleteAnswer(node, exchange, incoming);
   if (answer.status >= 500 && isRepeatable(exchange)) {
     progress.errorAnswer = {answer, body};
     progress.reason = `upstream answered ${answer.status}`;
--- a/apps/router/src/entry/end-probes.ts
+++ b/apps/router/src/entry/end-probes.ts
@@ -15,7 +15,7 @@
 import {openConnection, reachesOthers} from './reachability.js';
 
 /** Time after which a listener of a process that ended is closed as well. */
-const LISTENER_CLOSE_MS = 20;
+export const LISTENER_CLOSE_MS = 20;
 /** Time limit of the connection that shows whether an upstream has ended. */
 const PROBE_TIMEOUT_MS = 200;
 /** The same for the answer of another node, which probes as well. */
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -4,7 +4,6 @@
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
 import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
-import {recordSurvival} from './culprits.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {
@@ -19,6 +18,7 @@
 import {selectUpstream} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
 import {watchPace} from './stream-pace.js';
+import {recordCompleteAnswer, watchSurvival} from './survival.js';
 
 /** Whether a stream that makes no events may go on at another upstream. */
 function canMove(node: EntryNode, exchange: Exchange): boolean {
@@ -80,6 +80,7 @@
   const gaps = watchGaps(node, exchange, body);
   const pace = watchPace(node, exchange, body, model);
   const relayedCount = splitter.eventCount;
+  const updateSurvival = watchSurvival(node, exchange, body);
   try {
     for await (const chunk of body.message as AsyncIterable<Buffer>) {
       const known = splitter.eventCount;
@@ -87,6 +88,7 @@
       if (splitter.isTooLarge()) return StreamEnd.abandoned;
       if (splitter.isRepeating()) return StreamEnd.abandoned;
       pace.update(splitter.eventCount - relayedCount);
+      updateSurvival(splitter.eventCount - relayedCount);
       // Time in which the caller does not read is no gap of the stream.
       const writtenAt = node.clock();
       if (await writeBytes(exchange.response, events)) {
@@ -166,7 +168,7 @@
   while (body) {
     const end = await relayEvents(node, exchange, model, body, splitter);
     if (end === StreamEnd.complete) {
-      recordSurvival(node, exchange, body);
+      recordCompleteAnswer(node, exchange, body);
       if (exchange.ended) return true;
       exchange.ended = true;
       response.end();
