Do not take a segment that was answered for the culprit beside one that never was

Cause, second of two: of the segments that were in the same ends the deepest one was the culprit, whether or not upstreams had answered it before. The segment of all sound requests was convicted, and the fatal one hidden behind it.

Change: the evidence says of each shared suspect whether it was ever answered (a field of the reports; nodes of an earlier release read and hash the rest as before). A segment that was is no culprit if one that never was explains its ends, but for one at most. One that turned fatal after it was sound is still convicted.

--- a/apps/router/test/entry/survival.test.ts
+++ b/apps/router/test/entry/survival.test.ts
@@ -30,7 +30,13 @@
   t.teardown(() => closeSite(site));
   configure(site, [route({kind, resumable: true, timeout_ms: 10_000})]);
   const entry = await startNode(site);
-  const suspect = {key: SEGMENT, cleared: false, runMs: 50, specificity: 1};
+  const suspect = {
+    key: SEGMENT,
+    cleared: false,
+    answered: false,
+    runMs: 50,
+    specificity: 1,
+  };
   const crashes = ['u@1', 'u@2'].map((upstream, index) => ({
     upstream,
     ageMs: 5_000 - index * 1_000,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -179,6 +179,8 @@
   readonly key: string;
   /** Whether an upstream has answered it since. */
   readonly cleared: boolean;
+  /** Whether an upstream has ever answered it. */
+  readonly answered: boolean;
   /** Time that it had run there, milliseconds. */
   readonly runMs: number;
   /** Higher for suspects that fewer requests share. */
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -4,7 +4,8 @@
  * when it ended are suspects, with their segments, on whichever node they were. A
  * suspect that is answered when sent again is cleared; one that was in several ends and
  * in no such answer since is a culprit, and is refused (see `crash-trials.ts`). Of
- * suspects that were in nearly the same ends the most specific one is the culprit.
+ * suspects that were in nearly the same ends the culprit is one that was never answered,
+ * and the most specific one if that does not tell.
  * Evidence of several nodes merges in any order to the same state: a crash is counted
  * once for an incarnation of an upstream. Meant for any load; its size grows with
  * crashes, not with requests or nodes.
@@ -16,6 +17,8 @@
 const CULPRIT_CRASH_COUNT = 3;
 /** The same from which it is sent only to one upstream. */
 const SUSPECT_CRASH_COUNT = 2;
+/** Ends beside those that a culprit explains which may have another cause. */
+const MAX_UNRELATED_CRASH_COUNT = 1;
 /** Longest time between two ends that may have a common cause. */
 const COMMON_CAUSE_MS = 50;
 /** Time for which an end is remembered. */
@@ -33,6 +36,8 @@
   readonly specificity: number;
   /** Whether an upstream has answered a send of it that began later. */
   readonly cleared: boolean;
+  /** Whether one has ever answered a send of it; known for what requests share. */
+  readonly answered: boolean;
 }
 
 /** The end of an upstream while it served requests. */
@@ -77,7 +82,7 @@
   return new Map(
     keys.map(key => [
       key,
-      {runMs, specificity: specificityOf(key), cleared: false},
+      {runMs, specificity: specificityOf(key), cleared: false, answered: false},
     ]),
   );
 }
@@ -85,9 +90,11 @@
 function hashSuspect(
   {upstream}: Crash,
   key: string,
-  {runMs, specificity, cleared}: Suspect,
+  {runMs, specificity, cleared, answered}: Suspect,
 ): number {
-  return hashName(`${upstream} ${key} ${runMs} ${specificity} ${cleared}`);
+  const text = `${upstream} ${key} ${runMs} ${specificity} ${cleared}`;
+  // Nodes of an earlier release know no answers, and hash the rest like this.
+  return hashName(answered ? `${text} answered` : text);
 }
 
 function mergeSuspect(
@@ -103,6 +110,7 @@
     runMs: Math.min(known?.runMs ?? Infinity, Math.round(suspect.runMs)),
     specificity: Math.max(known?.specificity ?? 0, suspect.specificity),
     cleared: suspect.cleared || (known?.cleared ?? false),
+    answered: suspect.answered || (known?.answered ?? false),
   };
   if (known) evidence.digest ^= hashSuspect(crash, key, known);
   evidence.digest ^= hashSuspect(crash, key, merged);
@@ -145,8 +153,9 @@
 
 /**
  * Clears suspects of the crashes before a time, as a send that began then was
- * answered. An answer to an earlier send proves nothing: the upstreams may have
- * changed since. Returns the keys that were cleared.
+ * answered. An answer to an earlier send is no proof, as the upstreams may have
+ * changed since, but counts against suspects that were never answered. Returns the
+ * keys that were cleared.
  */
 export function clearSuspects(
   evidence: CrashEvidence,
@@ -156,11 +165,14 @@
   const cleared = new Set<string>();
   for (const key of keys) {
     for (const crash of evidence.crashes.values()) {
-      if (crash.at >= sentAt) continue;
       const known = crash.suspects.get(key);
-      if (!known || known.cleared) continue;
-      mergeSuspect(evidence, crash, key, {...known, cleared: true});
-      cleared.add(key);
+      if (!known) continue;
+      const isCleared = known.cleared || crash.at < sentAt;
+      const answered = known.answered || isSharedKey(key);
+      if (isCleared === known.cleared && answered === known.answered) continue;
+      const suspect = {...known, cleared: isCleared, answered};
+      mergeSuspect(evidence, crash, key, suspect);
+      if (isCleared && !known.cleared) cleared.add(key);
     }
   }
   return [...cleared];
@@ -250,6 +262,7 @@
   readonly specificity: number;
   readonly crashes: readonly KnownCrash[];
   readonly ends: readonly number[];
+  readonly answered: boolean;
 }
 
 function listCandidates(evidence: CrashEvidence): Candidate[] {
@@ -261,7 +274,11 @@
   }
   return [...specificities].map(([key, specificity]) => {
     const crashes = listCrashes(evidence, key);
-    return {key, specificity, crashes, ends: countedEnds(crashes, key)};
+    const ends = countedEnds(crashes, key);
+    const answered = crashes.some(
+      ({suspects}) => suspects.get(key)?.answered ?? false,
+    );
+    return {key, specificity, crashes, ends, answered};
   });
 }
 
@@ -275,6 +292,24 @@
   return scoreOf(b) - scoreOf(a) || b.specificity - a.specificity;
 }
 
+/**
+ * Whether a segment that was answered before is probably innocent: another one that
+ * never was explains all of the crashes, or all but one.
+ */
+function isOutweighed(
+  {key, answered}: Candidate,
+  unexplained: readonly KnownCrash[],
+  candidates: readonly Candidate[],
+): boolean {
+  if (!answered || !isSharedKey(key)) return false;
+  return candidates.some(other => {
+    if (other.answered || !isSharedKey(other.key)) return false;
+    const explained = new Set(other.crashes);
+    const rest = unexplained.filter(crash => !explained.has(crash));
+    return rest.length <= MAX_UNRELATED_CRASH_COUNT;
+  });
+}
+
 /**
  * Culprits by key. A crash that one of them explains counts for no other one, but for
  * the same request under another identity of its caller.
@@ -289,12 +324,14 @@
   const candidates = listCandidates(evidence)
     .filter(({ends}) => ends.length >= CULPRIT_CRASH_COUNT)
     .sort(byExplanation);
-  for (const {key, crashes, ends} of candidates) {
+  for (const candidate of candidates) {
+    const {key, crashes, ends} = candidate;
     const subject = subjectOf(key);
     const unexplained = crashes.filter(
       crash => (explanations.get(crash) ?? subject) === subject,
     );
     if (countedEnds(unexplained, key).length < CULPRIT_CRASH_COUNT) continue;
+    if (isOutweighed(candidate, unexplained, candidates)) continue;
     const separateCount = listSeparateEnds(crashes, key).length;
     assessments.set(key, {
       suspicion: Suspicion.culprit,
--- a/packages/policy/test/crash-evidence.test.ts
+++ b/packages/policy/test/crash-evidence.test.ts
@@ -16,7 +16,15 @@
 function crash(at: number, keys: readonly string[], runMs = 50): Crash {
   const suspects = keys.map(
     (key, index) =>
-      [key, {runMs, specificity: keys.length - index, cleared: false}] as const,
+      [
+        key,
+        {
+          runMs,
+          specificity: keys.length - index,
+          cleared: false,
+          answered: false,
+        },
+      ] as const,
   );
   return {upstream: `u@${at}`, at, suspects: new Map(suspects)};
 }
@@ -109,6 +117,31 @@
   t.not(suspicionOf(evidence, 'shared'), Suspicion.culprit);
 });
 
+const DEEP = 'segment deep';
+const WIDE = 'segment wide';
+
+// Guards against the refusal of sound requests that share a segment with fatal ones.
+test('of two segments in the same ends the culprit is the one that was never answered', t => {
+  for (const [fatal, sound] of [
+    [DEEP, WIDE],
+    [WIDE, DEEP],
+  ]) {
+    const crashes = [1, 2, 3].map(at => crash(at * 100, [DEEP, WIDE]));
+    const evidence = evidenceOf([...crashes, crash(900, [sound])]);
+    clearSuspects(evidence, [sound], 50);
+    t.is(suspicionOf(evidence, fatal), Suspicion.culprit);
+    t.not(suspicionOf(evidence, sound), Suspicion.culprit);
+  }
+});
+
+test('a segment that was answered before is the culprit if no other one explains its ends', t => {
+  const crashes = [1, 2, 3].map(at => crash(at * 100, [DEEP, WIDE]));
+  const others = [4, 5].map(at => crash(at * 100, [WIDE]));
+  const evidence = evidenceOf([...crashes, ...others]);
+  clearSuspects(evidence, [WIDE], 50);
+  t.is(suspicionOf(evidence, WIDE), Suspicion.culprit);
+});
+
 test('an answer clears only the ends before its send began', t => {
   const evidence = evidenceOf(
     [1, 2, 3, 4, 5, 6].map(index => crash(index * 100, ['a'])),
@@ -143,6 +176,7 @@
   runMs: fc.integer({min: 0, max: 500}),
   specificity: fc.integer({min: 1, max: 4}),
   cleared: fc.boolean(),
+  answered: fc.boolean(),
 });
 const anyCrash = fc.record({
   upstream: fc.constantFrom('u1@1', 'u2@1', 'u3@1'),
