Send nothing that a planned stop would cut off, and answer what is left at its end

Seen by callers, as other operators reported: requests that came late in the grace period were passed on and cut without an answer, also calls that may not be repeated.

Cause: the stop was looked at once, where a request begins. Bodies still being read, requests that wait for an upstream, retries, larger models and delegations were sent after that. At the end all connections were closed at once, also of requests that no upstream had got.

Change: a pure decision is asked before each send: once new requests are refused, a request is sent only if its deadline is before the end of the grace period or its answer has begun. At the end, requests without an answer get 503 (not run) or 502. A refused request's body is read first, as unread bytes would reset the connection.

--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -5,7 +5,7 @@
  */
 import {failure, type Failure} from '@parsleyarch/errors/failure';
 import {wait} from '@parsleyarch/lifecycle/process';
-import {returnPermit} from '@parsleyarch/policy/runs';
+import {permitRun} from '@parsleyarch/policy/runs';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {AnswerBody, Outcome} from './attempt.js';
 import {
@@ -22,8 +22,18 @@
 import {claimTrial, findRefusalMs} from './culprits.js';
 import {isCutOff} from './reachability.js';
 import {readAnswerBody} from './relay.js';
-import {endWithAnswer, endWithFailure, type BufferedAnswer} from './reply.js';
-import {reserveSend, mayAskLargerModel, mayHaveRun} from './retries.js';
+import {
+  createStoppingFailure,
+  endWithAnswer,
+  endWithFailure,
+  type BufferedAnswer,
+} from './reply.js';
+import {
+  hasTimeBeforeStop,
+  mayAskLargerModel,
+  mayHaveRun,
+  reserveSend,
+} from './retries.js';
 import {findPauseMs, findRetryPauseMs} from './exclusions.js';
 import {selectUpstream, type Selection} from './selection.js';
 import {recordOutcome, awaitOutcome, startSend} from './sending.js';
@@ -203,6 +213,11 @@
   return handler(node, exchange, progress, outcome);
 }
 
+function stopSending(progress: Progress, reason: string): Step {
+  progress.reason = `${reason} (${progress.reason})`;
+  return Step.stop;
+}
+
 async function sendOnce(
   node: EntryNode,
   exchange: Exchange,
@@ -210,18 +225,15 @@
 ): Promise<Step> {
   await claimTrial(node, exchange);
   if (exchange.ended) return Step.done;
-  const permit = reserveSend(node, exchange);
-  if (permit.isErr()) {
-    progress.reason = `${permit.error} (${progress.reason})`;
-    return Step.stop;
-  }
+  const denial = reserveSend(node, exchange);
+  if (denial) return stopSending(progress, denial);
   const selection = await waitForUpstream(node, exchange, progress.model);
-  if (exchange.ended || !selection) returnPermit(exchange.runs, permit.value);
   if (exchange.ended) return Step.done;
-  if (!selection) {
-    progress.reason = `no upstream (${progress.reason})`;
-    return Step.stop;
-  }
+  if (!selection) return stopSending(progress, 'no upstream');
+  if (!hasTimeBeforeStop(node, exchange))
+    return stopSending(progress, 'stopping');
+  const permit = permitRun(exchange.runs);
+  if (permit.isErr()) return stopSending(progress, permit.error);
   const attempt = startSend(
     node,
     exchange,
@@ -250,6 +262,8 @@
     progress.reason = 'the delegate is cut off as well';
     return Step.stop;
   }
+  if (!hasTimeBeforeStop(node, exchange))
+    return stopSending(progress, 'stopping');
   const member = selectDelegate(node, exchange);
   if (!member) return sendOnce(node, exchange, progress);
   const reason = await delegate(node, exchange, member);
@@ -265,6 +279,7 @@
 ): Failure {
   const {reason} = progress;
   if (!mayHaveRun(exchange)) {
+    if (!hasTimeBeforeStop(node, exchange)) return createStoppingFailure();
     const refusalMs = findRefusalMs(node, exchange);
     if (refusalMs !== undefined)
       return failure('quarantined', reason, {retryAfterMs: refusalMs});
--- a/apps/router/src/entry/ingress.ts
+++ b/apps/router/src/entry/ingress.ts
@@ -1,6 +1,7 @@
 /** Listeners for callers, for readiness probes and for metrics. */
 import {failure} from '@parsleyarch/errors/failure';
 import {READINESS_PATH} from '@parsleyarch/platform/names';
+import {isRefusing} from '@parsleyarch/policy/stopping';
 import type {RoutingTable} from '@parsleyarch/resource/routing';
 import * as http from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -9,14 +10,18 @@
 import {createExchange, readRequestBody, type Exchange} from './exchange.js';
 import {confirmationAge, isReady} from './freshness.js';
 import type {EntryNode} from './node.js';
-import {endWithFailure, recordAnswer, writeFailure} from './reply.js';
+import {
+  createStoppingFailure,
+  endWithFailure,
+  recordAnswer,
+  writeFailure,
+} from './reply.js';
+import {mayHaveRun} from './retries.js';
 
 /** Header limit of the parser, which is set before the configured limit is known. */
 const MAX_HEADER_BYTES = 128 << 10;
 /** Interval of the check for connections that exceed their time limits. */
 const SLOW_CONNECTION_CHECK_MS = 500;
-/** Retry delay of callers that a stopping node refuses; short, as they reach another node. */
-const STOPPING_RETRY_AFTER_MS = 50;
 
 /**
  * Size of a request's header. The request line adds 12 bytes for two spaces,
@@ -68,12 +73,11 @@
       response,
       failure('header-too-large', 'the header is too large'),
     );
-  if (node.refusing)
-    return writeFailure(
-      node,
-      response,
-      failure('not-ready', 'stopping', {retryAfterMs: STOPPING_RETRY_AFTER_MS}),
-    );
+  if (isRefusing(node.stop, node.clock())) {
+    // Closing a connection with unread bytes would reset it, and lose the answer.
+    await readRequestBody(node, request);
+    return writeFailure(node, response, createStoppingFailure());
+  }
   const created = createExchange(node, request, response, delegation);
   if (created.isErr()) {
     const {kind, message} = created.error;
@@ -90,6 +94,7 @@
     return writeFailure(node, response, created.error);
   }
   const exchange = created.value;
+  node.exchanges.add(exchange);
   const stopWatching = watchExchange(node, exchange);
   try {
     const body = await readRequestBody(node, request);
@@ -99,6 +104,18 @@
     await dispatch(node, exchange);
   } finally {
     stopWatching();
+    node.exchanges.delete(exchange);
+  }
+}
+
+/** Answers all requests of a node whose grace period ends; streams are cut off. */
+export function giveUpRequests(node: EntryNode): void {
+  for (const exchange of node.exchanges) {
+    const problem = mayHaveRun(exchange)
+      ? failure('upstream-lost', 'stopped before the answer')
+      : createStoppingFailure();
+    endWithFailure(node, exchange, problem);
+    exchange.cancel?.('stopping');
   }
 }
 
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -20,6 +20,7 @@
 import type {RouteIndex} from '@parsleyarch/policy/routes';
 import type {RetryWindow} from '@parsleyarch/policy/retry-window';
 import type {ShareBucket} from '@parsleyarch/policy/shared-limit';
+import type {Stop} from '@parsleyarch/policy/stopping';
 import {hashName, type RendezvousMember} from '@parsleyarch/policy/rendezvous';
 import type {ListedNode} from '@parsleyarch/policy/watchers';
 import type {
@@ -33,6 +34,7 @@
 import * as http from 'node:http';
 import {createCrashes, type Crashes} from './crashes.js';
 import type {Delegates} from './delegation.js';
+import type {Exchange} from './exchange.js';
 import {createFeed, type Feed} from './feed.js';
 import {createFollowing, type Following} from './following.js';
 import {createEntryMetrics, type EntryMetrics} from './metrics.js';
@@ -174,9 +176,11 @@
   /** Whether callers are being served. */
   serving: boolean;
   stopping: boolean;
-  /** Whether new requests are refused because the node is stopping. */
-  refusing: boolean;
+  /** Times of the planned stop that has begun. */
+  stop?: Stop;
   active: number;
+  /** Requests that have no final answer yet. */
+  readonly exchanges: Set<Exchange>;
 }
 
 /** Creates a node that has not started. */
@@ -241,7 +245,7 @@
     },
     serving: false,
     stopping: false,
-    refusing: false,
     active: 0,
+    exchanges: new Set(),
   };
 }
--- a/apps/router/src/entry/reply.ts
+++ b/apps/router/src/entry/reply.ts
@@ -12,6 +12,8 @@
 import {FAILURE_FIELD, writeHead} from './relay.js';
 
 const MS_PER_SECOND = 1_000;
+/** Retry delay of callers that a stopping node refuses; short, as they reach another node. */
+const STOPPING_RETRY_AFTER_MS = 50;
 /** Failures after which the connection is closed, as its input is not read further. */
 const CONNECTION_CLOSING_KINDS: ReadonlySet<string> = new Set([
   'body-too-large',
@@ -43,6 +45,12 @@
   response.end(text);
 }
 
+/** The refusal of a node that is being stopped. */
+export function createStoppingFailure(): Failure {
+  const retryAfterMs = STOPPING_RETRY_AFTER_MS;
+  return failure('not-ready', 'stopping', {retryAfterMs});
+}
+
 /** Records how a request ended; status 0 is a closed connection. */
 export function recordAnswer(
   node: EntryNode,
--- a/apps/router/src/entry/retries.ts
+++ b/apps/router/src/entry/retries.ts
@@ -8,13 +8,8 @@
   returnRetry,
   type RetryWindow,
 } from '@parsleyarch/policy/retry-window';
-import {
-  countRuns,
-  findRunDenial,
-  permitRun,
-  type RunPermit,
-} from '@parsleyarch/policy/runs';
-import {err, type Result} from 'neverthrow';
+import {countRuns, findRunDenial} from '@parsleyarch/policy/runs';
+import {maySendWhileStopping} from '@parsleyarch/policy/stopping';
 import {findCrashDenial} from './culprits.js';
 import type {Exchange} from './exchange.js';
 import {hasUntriedUpstream} from './exclusions.js';
@@ -65,16 +60,28 @@
   return undefined;
 }
 
-/** Permits a send to an upstream, or returns the reason why it must not take place. */
+/** Whether a planned stop leaves time to send the request, or a part of it again. */
+export function hasTimeBeforeStop(
+  node: EntryNode,
+  {deadlineAt, response}: Exchange,
+): boolean {
+  const hasBegun = response.headersSent;
+  return maySendWhileStopping(node.stop, node.clock(), {deadlineAt, hasBegun});
+}
+
+/**
+ * Counts a send in the retry budget if the request may be sent; otherwise returns the
+ * reason why not.
+ */
 export function reserveSend(
   node: EntryNode,
   exchange: Exchange,
-): Result<RunPermit, string> {
-  const denial =
+): string | undefined {
+  return (
     findCrashDenial(node, exchange) ??
     findRunDenial(exchange.runs) ??
-    countSend(node, exchange);
-  return denial === undefined ? permitRun(exchange.runs) : err(denial);
+    countSend(node, exchange)
+  );
 }
 
 /** Counts a send that has reached its upstream, or returns the retry of one that has not. */
@@ -113,6 +120,7 @@
   const anyUpstream = {...exchange, triedUpstreams: new Set<string>()};
   return (
     hasAttemptLeft(exchange) &&
+    hasTimeBeforeStop(node, exchange) &&
     allowsLargerModel(window, node.clock()) &&
     hasUntriedUpstream(node, anyUpstream)
   );
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -16,6 +16,7 @@
   createDelegationListener,
   createMetricsListener,
   createReadinessListener,
+  giveUpRequests,
   listen,
 } from './ingress.js';
 import {answerConsultation, runRollouts} from './holder.js';
@@ -31,6 +32,8 @@
 /** Time of the grace period that is reserved for closing, milliseconds. */
 const CLOSING_MARGIN_MS = 300;
 const DRAIN_POLL_MS = 50;
+/** Time in which the last answers are written before connections are closed. */
+const FLUSH_MS = 100;
 
 /** An entry node with its lifecycle. */
 export interface Entry {
@@ -57,22 +60,26 @@
   node: EntryNode,
   listeners: readonly Server[],
 ): Promise<void> {
-  const endsAt = node.clock() + node.settings.stop.graceSeconds * 1_000;
+  const graceMs = node.settings.stop.graceSeconds * 1_000;
+  const refusesFrom = node.clock() + BALANCER_LAG_MS;
+  const endsAt = node.clock() + graceMs - CLOSING_MARGIN_MS;
   node.stopping = true;
+  node.stop = {refusesFrom, endsAt};
   node.log.info({active: node.active}, 'stopping');
   await wait(BALANCER_LAG_MS);
-  node.refusing = true;
   for (const listener of listeners) {
     listener.close();
     listener.closeIdleConnections();
   }
-  while (node.active > 0 && node.clock() < endsAt - CLOSING_MARGIN_MS)
-    await wait(DRAIN_POLL_MS);
-  if (node.active > 0)
+  while (node.active > 0 && node.clock() < endsAt) await wait(DRAIN_POLL_MS);
+  if (node.active > 0) {
     node.log.error(
       {active: node.active},
-      'grace period ended; closing connections of running requests',
+      'grace period ended; giving up running requests',
     );
+    giveUpRequests(node);
+    await wait(FLUSH_MS);
+  }
   for (const listener of listeners) listener.closeAllConnections();
 }
 
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -1,6 +1,6 @@
 /** Relays event streams and resumes them at another upstream if they break. */
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
-import {returnPermit} from '@parsleyarch/policy/runs';
+import {permitRun} from '@parsleyarch/policy/runs';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
 import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
@@ -118,13 +118,12 @@
   lastEventId: string,
 ): Promise<AnswerBody | undefined> {
   while (!exchange.ended && isRepeatable(exchange)) {
-    const permit = reserveSend(node, exchange);
-    if (permit.isErr()) return undefined;
+    const denial = reserveSend(node, exchange);
+    if (denial) return undefined;
     const selection = selectUpstream(node, exchange, model);
-    if (!selection) {
-      returnPermit(exchange.runs, permit.value);
-      return undefined;
-    }
+    if (!selection) return undefined;
+    const permit = permitRun(exchange.runs);
+    if (permit.isErr()) return undefined;
     const attempt = startSend(
       node,
       exchange,
