Take each request that ran and was not served for cut off by a planned stop

The end of a grace period gives answers now, so that a stop which waits for nothing passed the test: it counted closed connections (0) and refusals (503), not 502. It counts every status but 200 of a request that ran.

--- a/apps/router/test/entry/mishaps.test.ts
+++ b/apps/router/test/entry/mishaps.test.ts
@@ -110,15 +110,11 @@
   stopped = true;
   const ended = (await Promise.all(callers)).flat();
   const ran = new Set(runsOf(site.runners).map(({attempt}) => attempt));
-  const cut = ended.filter(
-    ({attempt, status}) => status === 0 && ran.has(attempt),
-  );
-  const refusedAfterRun = ended.filter(
-    ({attempt, status}) => status === 503 && ran.has(attempt),
+  const unserved = ended.filter(
+    ({attempt, status}) => status !== 200 && ran.has(attempt),
   );
   t.true(ended.filter(({status}) => status === 200).length > 300);
-  t.deepEqual(cut, []);
-  t.deepEqual(refusedAfterRun, []);
+  t.deepEqual(unserved, []);
 });
 
 test('work whose answer was lost is not run again, nor called not run', async t => {
