Let the request that tells most of a culprit make its trial

Cause: a trial was made with the first request that held the refused segment, which may hold the fatal one too.

Change: a request that lacks one of the segments in question goes first, by a second.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -376,6 +376,7 @@
       suspicion: Suspicion.culprit,
       key,
       endCount: 0,
+      crashCount: 0,
       lastEndAt,
       mayShareCause: false,
     });
--- a/apps/router/src/entry/culprits.ts
+++ b/apps/router/src/entry/culprits.ts
@@ -3,11 +3,12 @@
  * that show whether they still do. A node claims a trial in the store, so that all
  * nodes together make no more than one at a time.
  */
-import type {Assessment} from '@parsleyarch/policy/crash-evidence';
+import {valueTrial, type Assessment} from '@parsleyarch/policy/crash-evidence';
+import {isSharedKey} from '@parsleyarch/policy/crash-keys';
 import {Doubt, nextTrialAt} from '@parsleyarch/policy/crash-trials';
 import {countRuns} from '@parsleyarch/policy/runs';
 import {wait} from '@parsleyarch/lifecycle/process';
-import {listCulpritsOf} from './crashes.js';
+import {listCulpritsOf, listKeys} from './crashes.js';
 import {writeRecords} from './culprit-records.js';
 import {capacityWaitMs, type Exchange} from './exchange.js';
 import {countUsableUpstreams} from './exclusions.js';
@@ -30,13 +31,19 @@
   return answeredSends.has(key) ? Doubt.answeredBefore : Doubt.none;
 }
 
-function trialAt(node: EntryNode, culprit: Assessment): number {
-  const {key, lastEndAt} = culprit;
+function trialAt(
+  node: EntryNode,
+  exchange: Exchange,
+  culprit: Assessment,
+): number {
+  const {key, lastEndAt, crashCount} = culprit;
   const record = node.crashes.records.get(key);
   return nextTrialAt({
     trialCount: record?.trialCount ?? 0,
     changedAt: Math.max(lastEndAt, record?.changedAt ?? -Infinity),
     doubt: doubtOf(node, culprit),
+    crashCount: isSharedKey(key) ? crashCount : 0,
+    value: valueTrial(node.crashes.evidence, listKeys(exchange), key),
   });
 }
 
@@ -47,7 +54,8 @@
   culprits: readonly Assessment[],
 ): boolean {
   const now = node.clock();
-  if (culprits.some(culprit => trialAt(node, culprit) > now)) return false;
+  if (culprits.some(culprit => trialAt(node, exchange, culprit) > now))
+    return false;
   const {usable, registered} = countUsableUpstreams(node, exchange);
   return usable > 1 || (usable === 1 && registered === 1);
 }
@@ -123,7 +131,9 @@
 ): number | undefined {
   const culprits = listCulpritsOf(node, exchange);
   if (culprits.length === 0) return undefined;
-  const dueAt = Math.max(...culprits.map(culprit => trialAt(node, culprit)));
+  const dueAt = Math.max(
+    ...culprits.map(culprit => trialAt(node, exchange, culprit)),
+  );
   const untilDueMs = Math.max(MIN_RETRY_AFTER_MS, dueAt - node.clock());
   return Math.min(MAX_RETRY_AFTER_MS, untilDueMs);
 }
--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -242,6 +242,8 @@
   readonly key: string;
   /** Ends that count for the key. */
   readonly endCount: number;
+  /** Ends in which it was, whether or not they count. */
+  readonly crashCount: number;
   /** When the latest of them was noticed, monotonic milliseconds. */
   readonly lastEndAt: number;
   /** Whether a common cause may explain so many of the ends that it is no culprit. */
@@ -252,6 +254,7 @@
   suspicion: Suspicion.none,
   key: '',
   endCount: 0,
+  crashCount: 0,
   lastEndAt: -Infinity,
   mayShareCause: false,
 };
@@ -337,6 +340,7 @@
       suspicion: Suspicion.culprit,
       key,
       endCount: ends.length,
+      crashCount: crashes.length,
       lastEndAt: ends.at(-1) ?? -Infinity,
       mayShareCause: separateCount < CULPRIT_CRASH_COUNT,
     });
@@ -351,6 +355,35 @@
   return evidence.crashes.size > 0 ? [...findCulprits(evidence).values()] : [];
 }
 
+/** What the end of an upstream under a request would tell of a culprit. */
+export const TrialValue = {
+  /** No other segment was in all of the former ends. */
+  conclusive: 'conclusive',
+  /** Others were, and the request lacks one of them. */
+  telling: 'telling',
+  /** It has all of them. */
+  none: 'none',
+} as const;
+export type TrialValue = (typeof TrialValue)[keyof typeof TrialValue];
+
+/** What a trial of a culprit by a request would tell. */
+export function valueTrial(
+  evidence: CrashEvidence,
+  keys: readonly string[],
+  culprit: string,
+): TrialValue {
+  const [first, ...others] = listCrashes(evidence, culprit);
+  if (!first || !isSharedKey(culprit)) return TrialValue.conclusive;
+  const common = [...first.suspects.keys()].filter(
+    key =>
+      isSharedKey(key) &&
+      others.every(({suspects}) => suspects.get(key)?.cleared === false),
+  );
+  if (common.length === 1) return TrialValue.conclusive;
+  const lacksOne = common.some(key => !keys.includes(key));
+  return lacksOne ? TrialValue.telling : TrialValue.none;
+}
+
 /** Assessments of those keys of a request that are culprits, in their order. */
 export function listCulprits(
   evidence: CrashEvidence,
@@ -368,12 +401,14 @@
   const [culprit] = listCulprits(evidence, keys);
   if (culprit) return culprit;
   for (const key of keys) {
-    const ends = countedEnds(listCrashes(evidence, key), key);
+    const crashes = listCrashes(evidence, key);
+    const ends = countedEnds(crashes, key);
     if (ends.length < SUSPECT_CRASH_COUNT) continue;
     return {
       suspicion: Suspicion.suspect,
       key,
       endCount: ends.length,
+      crashCount: crashes.length,
       lastEndAt: ends.at(-1) ?? -Infinity,
       mayShareCause: false,
     };
--- a/packages/policy/src/crash-trials.ts
+++ b/packages/policy/src/crash-trials.ts
@@ -4,6 +4,7 @@
  * under a request once it is known, however many nodes receive it; a request that is
  * refused by mistake is served again after the first trial.
  */
+import {TrialValue} from './crash-evidence.js';
 
 /** Why a culprit may be sound after all. */
 export const Doubt = {
@@ -30,6 +31,16 @@
   [Doubt.commonCause]: [0, 3 * SECOND_MS, 30 * SECOND_MS],
 };
 
+/** Further time before a trial that tells nothing, so that another may come first. */
+const WORTHLESS_TRIAL_DELAY_MS = SECOND_MS;
+/**
+ * Ends of a segment beyond which a further one counts as a trial, once one was made. They
+ * came too close together to be counted, and requests were sent meanwhile.
+ */
+const SEGMENT_END_COUNT = 5;
+/** Time before trials that are left out because of such ends. */
+const EXCESS_DELAY_MS = 10 * MINUTE_MS;
+
 /** What is known of a culprit's trials. */
 export interface TrialHistory {
   /** Trials that all nodes have made so far. */
@@ -37,6 +48,10 @@
   /** When the latest end or trial became known, monotonic milliseconds. */
   readonly changedAt: number;
   readonly doubt: Doubt;
+  /** For a segment, the ends in which it was, also those that do not count. */
+  readonly crashCount?: number;
+  /** Conclusive by default. */
+  readonly value?: TrialValue;
 }
 
 /** When a culprit may be sent to an upstream again, monotonic milliseconds. */
@@ -44,6 +59,16 @@
   trialCount,
   changedAt,
   doubt,
+  crashCount = 0,
+  value = TrialValue.conclusive,
 }: TrialHistory): number {
-  return changedAt + (TRIAL_DELAYS_MS[doubt][trialCount] ?? LAST_DELAY_MS);
+  const delays = TRIAL_DELAYS_MS[doubt];
+  const delayMs = delays[trialCount] ?? LAST_DELAY_MS;
+  if (value === TrialValue.none)
+    return changedAt + delayMs + WORTHLESS_TRIAL_DELAY_MS;
+  const excess = Math.max(0, crashCount - trialCount - SEGMENT_END_COUNT);
+  const isExcessive = trialCount > 0 && trialCount + excess >= delays.length;
+  if (value === TrialValue.conclusive && isExcessive)
+    return changedAt + Math.max(delayMs, EXCESS_DELAY_MS);
+  return changedAt + delayMs;
 }
--- a/packages/policy/test/crash-trials.test.ts
+++ b/packages/policy/test/crash-trials.test.ts
@@ -1,3 +1,4 @@
+import {TrialValue} from '@parsleyarch/policy/crash-evidence';
 import {Doubt, nextTrialAt} from '@parsleyarch/policy/crash-trials';
 import test from 'ava';
 import fc from 'fast-check';
@@ -22,6 +23,27 @@
   t.true(nextTrialAt({trialCount: 0, changedAt: 500, doubt}) <= 1_500);
 });
 
+// Guards against trials that end upstreams and tell nothing of a shared segment.
+test('a request that has all in common with the former ends is tried later than others', t => {
+  for (const doubt of Object.values(Doubt)) {
+    const history = {trialCount: 0, changedAt: 0, doubt};
+    const worthless = nextTrialAt({...history, value: TrialValue.none});
+    t.true(worthless > nextTrialAt(history));
+  }
+});
+
+// Guards against a fourth send after many ends at nearly the same time.
+test('after a conclusive trial, ends of a segment beyond the fifth count like trials', t => {
+  const doubt = Doubt.answeredBefore;
+  const at = (trialCount: number, crashCount: number, value?: TrialValue) =>
+    nextTrialAt({trialCount, crashCount, changedAt: 0, doubt, value});
+  t.is(at(0, 50), at(0, 0));
+  t.is(at(1, 6), at(1, 0));
+  t.true(at(1, 8) >= 10 * 60_000);
+  t.is(at(1, 8, TrialValue.telling), at(1, 0));
+  t.true(at(3, 50) >= DAY_MS);
+});
+
 test('at most three trials follow within a day, whenever requests arrive and whoever is in doubt', t => {
   const arrival = fc.record({
     afterMs: fc.integer({min: 0, max: 3_600_000}),
