Pass on an unframed answer as whole only if its upstream lives on

Cause: an answer with neither a length nor chunks ends with its connection, and the end of an upstream closes connections in order. Only a reset counted as broken.

Ruled out by cuts after each byte of a head and the first 24 of a body (plain answers, streams, resumed streams, delegates; length, chunks, neither; closed and reset): an answer that ends in its head, or one with a length or chunks, never looked whole.

--- a/apps/router/src/entry/crashes.ts
+++ b/apps/router/src/entry/crashes.ts
@@ -3,6 +3,7 @@
  * known of them with the reports of load, and assesses requests by it.
  */
 import type {CrashReport} from '@parsleyarch/peer/messages';
+import {wait} from '@parsleyarch/lifecycle/process';
 import {
   assessRequest,
   clearSuspects,
@@ -20,7 +21,7 @@
 } from '@parsleyarch/policy/crash-evidence';
 import {listRequestKeys, listSegmentKeys} from '@parsleyarch/policy/crash-keys';
 import type {RegisteredUpstream} from '@parsleyarch/resource/routing';
-import type {Send} from './attempt.js';
+import type {AnswerBody, Send} from './attempt.js';
 import {announceCrashes} from './crash-announcements.js';
 import {Finding, findEnd, LISTENER_CLOSE_MS} from './end-probes.js';
 import type {Exchange} from './exchange.js';
@@ -304,6 +305,21 @@
   return state !== undefined && state.connectedAt > since + LISTENER_CLOSE_MS;
 }
 
+/**
+ * Whether an upstream has ended together with an answer that nothing but the end of its
+ * connection delimits, so that the answer may have been cut off.
+ */
+export async function mayBeCutOff(
+  node: EntryNode,
+  {closeDelimited, send: {registered}}: AnswerBody,
+): Promise<boolean> {
+  if (!closeDelimited) return false;
+  const endedAt = node.clock();
+  await wait(2 * LISTENER_CLOSE_MS);
+  if (hasAcceptedSince(node, registered, endedAt)) return false;
+  return (await probeOnce(node, registered)) === Finding.ended;
+}
+
 /**
  * Suspects of a crash among the sends that this node gave up. The crash may have been
  * noticed long after it, but not before the last connection to the upstream.
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -18,7 +18,11 @@
 import {chooseLargerModel, recordConfidenceGain} from './models.js';
 import type {EntryNode} from './node.js';
 import {delegate, selectDelegate} from './delegation.js';
-import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
+import {
+  mayBeCutOff,
+  recordAbandonedSend,
+  recordBrokenAnswer,
+} from './crashes.js';
 import {claimTrial, findRefusalMs} from './culprits.js';
 import {isCutOff} from './reachability.js';
 import {readAnswerBody} from './relay.js';
@@ -99,7 +103,7 @@
   incoming: AnswerBody,
 ): Promise<Step> {
   const body = await readAnswerBody(incoming);
-  if (!body) {
+  if (!body || (await mayBeCutOff(node, incoming))) {
     await recordBrokenAnswer(node, exchange, incoming.send);
     progress.reason = 'answer ended early or was too large';
     return Step.retry;
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -3,7 +3,11 @@
 import {permitRun} from '@parsleyarch/policy/runs';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {isComplete, type AnswerBody} from './attempt.js';
-import {recordAbandonedSend, recordBrokenAnswer} from './crashes.js';
+import {
+  mayBeCutOff,
+  recordAbandonedSend,
+  recordBrokenAnswer,
+} from './crashes.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {
@@ -103,8 +107,9 @@
     pace.end(gaps.hasStalled());
   }
   // A connection that closes before the first event cannot tell an end from a crash.
-  const isCutOff = body.closeDelimited && splitter.eventCount === relayedCount;
-  return isComplete(body) && !splitter.hasPartial() && !isCutOff
+  const isEmpty = body.closeDelimited && splitter.eventCount === relayedCount;
+  const isWhole = isComplete(body) && !splitter.hasPartial() && !isEmpty;
+  return isWhole && !(await mayBeCutOff(node, body))
     ? StreamEnd.complete
     : StreamEnd.brokenOff;
 }
