Keep the same suspects of a crash on all nodes when there are too many

Cause: of more than 256 suspects of a crash each node kept those that it had heard of first. Nodes that kept different ones never had the same digest, so that each exchange of reports sent all evidence both ways, for ten minutes, and each receiver merged and hashed it again.

Change: the kept ones do not depend on the order: segments first, then by hash.

Evidence: a new test merges 300 requests in two orders; digests differed before and are equal now.

--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -25,7 +25,7 @@
 const RETENTION_MS = 600_000;
 /** Number of ends that are remembered; the oldest are dropped. */
 const MAX_CRASH_COUNT = 64;
-/** Number of suspects of one end; further ones are ignored. */
+/** Number of suspects of one end that are kept. */
 const MAX_SUSPECT_COUNT = 256;
 
 /** What a crash tells of a suspect. */
@@ -97,6 +97,35 @@
   return hashName(answered ? `${text} answered` : text);
 }
 
+/** Segments rank first, as they may have ended several upstreams; then by hash. */
+function isKeptBefore(key: string, other: string): boolean {
+  if (isSharedKey(key) !== isSharedKey(other)) return isSharedKey(key);
+  const rank = hashName(key) - hashName(other);
+  return rank < 0 || (rank === 0 && key < other);
+}
+
+/**
+ * Makes room for a suspect of a crash that has as many as are kept. Which ones are does
+ * not depend on the order in which nodes hear of them, or their evidence would never be
+ * the same. Returns whether there is room.
+ */
+function makeRoom(
+  evidence: CrashEvidence,
+  crash: KnownCrash,
+  key: string,
+): boolean {
+  const {suspects} = crash;
+  if (suspects.size < MAX_SUSPECT_COUNT) return true;
+  let last = key;
+  for (const other of suspects.keys()) {
+    if (isKeptBefore(last, other)) last = other;
+  }
+  if (last === key) return false;
+  evidence.digest ^= hashSuspect(crash, last, suspects.get(last)!);
+  suspects.delete(last);
+  return true;
+}
+
 function mergeSuspect(
   evidence: CrashEvidence,
   crash: KnownCrash,
@@ -105,7 +134,7 @@
 ): void {
   const {suspects} = crash;
   const known = suspects.get(key);
-  if (!known && suspects.size >= MAX_SUSPECT_COUNT) return;
+  if (!known && !makeRoom(evidence, crash, key)) return;
   const merged = {
     runMs: Math.min(known?.runMs ?? Infinity, Math.round(suspect.runMs)),
     specificity: Math.max(known?.specificity ?? 0, suspect.specificity),
--- a/packages/policy/test/crash-evidence.test.ts
+++ b/packages/policy/test/crash-evidence.test.ts
@@ -210,6 +210,28 @@
   );
 });
 
+// Guards against nodes that exchange the suspects of a large crash without end.
+test('nodes that hear of too many suspects in different orders keep the same ones', t => {
+  const requests = Array.from({length: 300}, (_, index) =>
+    crash(1_000, [`request ${index} k`, `segment s${index % 7}`]),
+  );
+  const [first, second] = [requests, [...requests].reverse()].map(evidenceOf);
+  t.is(first.digest, second.digest);
+  t.deepEqual(contentOf(first), contentOf(second));
+  for (const [one, other] of [
+    [first, second],
+    [second, first],
+  ]) {
+    const {digest} = one;
+    for (const each of other.crashes.values()) mergeCrash(one, each);
+    t.is(one.digest, digest);
+  }
+  const [kept] = first.crashes.values();
+  t.is(kept.suspects.size, 256);
+  for (let index = 0; index < 7; index += 1)
+    t.true(kept.suspects.has(`segment s${index}`));
+});
+
 test('evidence that differs has another digest', t => {
   fc.assert(
     fc.property(anyCrash, fc.constantFrom('a', 'b', 'c'), (one, key) => {
