--- a/apps/router/test/entry/regained-contact.test.ts
+++ b/apps/router/test/entry/regained-contact.test.ts
@@ -1,5 +1,6 @@
 /** Tests of nodes that reach the store and other nodes again after a disruption. */
 import {BOTH_DIRECTIONS, type Direction} from '@parsleyarch/standins/proxy';
+import {seededRandom} from '@parsleyarch/standins/measures/figures';
 import test, {type ExecutionContext} from 'ava';
 import '../exit.js';
 import {startChanges} from './changes.js';
@@ -11,7 +12,7 @@
   type LinkedNode,
   type LinkedSite,
 } from './links.js';
-import {startNode} from './site.js';
+import {configure, route, startNode} from './site.js';
 
 const DOMAIN_COUNT = 3;
 const NODE_COUNT = 9;
@@ -116,3 +117,39 @@
     await wait(5_000);
     heal();
   }));
+
+/** Time from a loss of connections after which nodes are in touch again, milliseconds. */
+const CONTACT_MS = 3_000;
+/** Time in which a change, and the leaving of an upstream, must be in force. */
+const APPLY_MS = 2_000;
+
+// Guards against nodes that wait for changes on connections that are silent for good.
+for (const [seed, share] of [
+  [1, 0.7],
+  [2, 0.7],
+  [3, 0.4],
+]) {
+  test(`a route and the leaving of an upstream are known in time after ${share} of the open connections fell silent, seed ${seed}`, async t => {
+    const linked = await startLinkedSite(t, DOMAIN_COUNT, NODE_COUNT);
+    const random = seededRandom(seed);
+    const {site, nodes} = linked;
+    await wait(1_000);
+    for (const link of new Set(nodes.flatMap(node => linksOf(linked, node)))) {
+      if (random() < share) link.silenceOpen();
+    }
+    await wait(CONTACT_MS + 1_500);
+    configure(site, [route({path_prefix: '/severed/'})]);
+    await wait(500);
+    const [leaving] = site.runners;
+    leaving.register({state: 'draining'});
+    const isKnown = ({entry: {node}}: LinkedNode) =>
+      node.routes?.table.routes[0].pathPrefix === '/severed/' &&
+      node.upstreams.get(leaving.id)?.registered.draining === true;
+    await wait(APPLY_MS);
+    const late = nodes.filter(node => !isKnown(node));
+    t.deepEqual(
+      late.map(({entry}) => entry.node.settings.node),
+      [],
+    );
+  });
+}
