--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -97,11 +97,10 @@
   return hashName(answered ? `${text} answered` : text);
 }
 
-/** Segments rank first, as they may have ended several upstreams; then by hash. */
+/** Segments rank first, as they may have ended several upstreams. */
 function isKeptBefore(key: string, other: string): boolean {
-  if (isSharedKey(key) !== isSharedKey(other)) return isSharedKey(key);
-  const rank = hashName(key) - hashName(other);
-  return rank < 0 || (rank === 0 && key < other);
+  const isShared = isSharedKey(key);
+  return isShared === isSharedKey(other) ? key < other : isShared;
 }
 
 /**
