List the crashes only of suspects that may be culprits

Cause, of a part of it: after each change of the evidence the crashes of every suspect are listed, though most suspects were in one. What is decided is the same; the tests of crashes pass (31).

--- a/packages/policy/src/crash-evidence.ts
+++ b/packages/policy/src/crash-evidence.ts
@@ -296,14 +296,21 @@
   readonly answered: boolean;
 }
 
+/** Suspects that were in enough crashes for a culprit, whether or not they all count. */
 function listCandidates(evidence: CrashEvidence): Candidate[] {
-  const specificities = new Map<string, number>();
+  const found = new Map<string, {specificity: number; crashCount: number}>();
   for (const {suspects} of evidence.crashes.values()) {
     for (const [key, {specificity, cleared}] of suspects) {
-      if (!cleared) specificities.set(key, specificity);
+      if (cleared) continue;
+      const crashCount = (found.get(key)?.crashCount ?? 0) + 1;
+      found.set(key, {specificity, crashCount});
     }
   }
-  return [...specificities].map(([key, specificity]) => {
+  // Most suspects were in one crash; listing the crashes of each takes long.
+  const candidates = [...found].filter(
+    ([, {crashCount}]) => crashCount >= CULPRIT_CRASH_COUNT,
+  );
+  return candidates.map(([key, {specificity}]) => {
     const crashes = listCrashes(evidence, key);
     const ends = countedEnds(crashes, key);
     const answered = crashes.some(
