Give an entry node the limits of its machine

Cause: a node knew nothing of the memory, processor, link and descriptors of its machine, so that no decision could take them into account. The settings take them from the platform; left out, they are unknown. Nothing uses them yet. Test: the template of the deploy file is read with and without them.

--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -61,6 +61,18 @@
     /** Maximum time from SIGTERM to the end of the process. */
     graceSeconds: z.number().positive(),
   }),
+  /** Resources of the machine that the node runs on; a limit left out is unknown. */
+  machine: z
+    .strictObject({
+      /** Share of the time of each core that the process may use. */
+      processorShare: z.number().positive().optional(),
+      cores: z.number().positive().optional(),
+      memoryMb: z.number().positive().optional(),
+      /** File descriptors that the process may open. */
+      maxDescriptors: z.number().int().positive().optional(),
+      linkMbps: z.number().positive().optional(),
+    })
+    .default({}),
   logLevel: z
     .enum(['debug', 'info', 'warn', 'error', 'silent'])
     .default('info'),
--- a/apps/router/test/settings.test.ts
+++ b/apps/router/test/settings.test.ts
@@ -1,5 +1,9 @@
+import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import test from 'ava';
 import fc from 'fast-check';
+import {loadEntrySettings} from '../src/entry/settings.js';
 import {parseSettings} from '../src/settings.js';
 
 const VALID = `{
@@ -51,3 +55,26 @@
   );
   t.pass();
 });
+
+test('the limits of the machine are optional settings of an entry node', t => {
+  const template = readFileSync('deploy/settings.jsonc', 'utf8');
+  const load = (text: string) => {
+    const file = path.join(
+      mkdtempSync(path.join(tmpdir(), 'entry-')),
+      's.jsonc',
+    );
+    writeFileSync(file, text);
+    return loadEntrySettings(file)._unsafeUnwrap().machine;
+  };
+  const filled = template
+    .replace(/"\{\{ip\}\}:(\{\{[^}]*\}\}|\d+)"/g, '"10.1.0.1:7000"')
+    .replace(/\{\{listen[^}]*\}\}/g, '"10.1.0.1:8000"')
+    .replace('{{provider.addr}}', '10.200.1.7:8223')
+    .replace('{{bounds.fail_closed|json}}', 'true')
+    .replace('{{bounds.expose_share}}', '0.1')
+    .replace(/\{\{(node|zone)\|json\}\}/g, '"a"')
+    .replace(/\{\{[^}]*\}\}/g, '8');
+  t.is(load(filled).memoryMb, 8);
+  const withoutMachine = filled.replace(/"machine": \{[^}]*\},/, '');
+  t.deepEqual(load(withoutMachine), {});
+});
