Order sends at engines by priority, time left and age

Cause: engines admit by the urgency that the node sends. All sends of the smallest model came before all sends of larger ones, whatever their priority, so that in a burst of short sends of the least urgent kind the larger models of the most urgent kind waited behind it; and sends that could no longer be in time took the place of those that could.

Change: the urgency is a pure decision (policy/urgency): class of priority by rank among the declared ones, then the smallest model and short time left, then what is late. Of a level that takes over half of the time to the deadline every second send goes first.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -79,6 +79,8 @@
   /** Permit under which the request was sent. */
   readonly permit: RunPermit;
   readonly upstream: UpstreamState;
+  /** Level of urgency that the upstream was given. */
+  readonly urgency: number;
   /** Work at the upstream at the time of the send, including its own. */
   readonly upstreamWork: number;
   readonly outcome: Promise<Outcome>;
@@ -238,6 +240,7 @@
     ...send,
     permit,
     upstream,
+    urgency: request.urgency,
     upstreamWork,
     outcome,
     cancel,
--- a/apps/router/src/entry/models.ts
+++ b/apps/router/src/entry/models.ts
@@ -71,6 +71,18 @@
   );
 }
 
+/** Expected time from a send to the response header, behind this work and with it. */
+export function expectHeaderMs(
+  {msPerWorkUnit}: ModelStatistics,
+  service: string,
+  model: string,
+  work: number,
+): number {
+  const msPerUnit =
+    msPerWorkUnit.get(`${service}/${model}`) ?? INITIAL_MS_PER_WORK_UNIT;
+  return BASE_HEADER_MS + msPerUnit * work;
+}
+
 /** Records the confidences of two models for the same request. */
 export function recordConfidenceGain(
   node: EntryNode,
@@ -108,9 +120,7 @@
     exchange.caller.promptTokens,
     relativeTokenTime,
   );
-  const msPerUnit =
-    node.models.msPerWorkUnit.get(`${service}/${name}`) ??
-    INITIAL_MS_PER_WORK_UNIT;
+  const work = presentWork + requestWork;
   const initialGain =
     name === largest ? INITIAL_GAIN_LARGEST_PERCENT : INITIAL_GAIN_PERCENT;
   return {
@@ -118,7 +128,7 @@
     cost:
       (LARGEST_MODEL_COST_RATIO * (costs?.get(name) ?? largestCost)) /
       largestCost,
-    expectedMs: BASE_HEADER_MS + msPerUnit * (presentWork + requestWork),
+    expectedMs: expectHeaderMs(node.models, service, name, work),
     presentWork,
     confidenceGain:
       node.models.confidenceGains.get(`${previousModel}/${name}`) ??
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -21,6 +21,7 @@
 import type {RetryWindow} from '@parsleyarch/policy/retry-window';
 import type {ShareBucket} from '@parsleyarch/policy/shared-limit';
 import type {Stop} from '@parsleyarch/policy/stopping';
+import type {LevelRecords} from '@parsleyarch/policy/urgency';
 import {hashName, type RendezvousMember} from '@parsleyarch/policy/rendezvous';
 import type {ListedNode} from '@parsleyarch/policy/watchers';
 import type {
@@ -136,6 +137,8 @@
   readonly orders: Map<string, KnownOrder>;
   readonly versions: Versions;
   readonly models: ModelStatistics;
+  /** Sends of each level of urgency, by service. */
+  readonly urgencyLevels: Map<string, LevelRecords>;
   readonly load: SharedLoad;
   readonly crashes: Crashes;
   readonly delegates: Delegates;
@@ -216,6 +219,7 @@
     orders: new Map(),
     versions: createVersions(),
     models: createModelStatistics(),
+    urgencyLevels: new Map(),
     load: createSharedLoad(),
     crashes: createCrashes(),
     delegates: {skipped: new Map()},
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -8,7 +8,7 @@
 import {recordRefusal} from './brittle-upstreams.js';
 import {recordAbandonedSend, recordPossibleEnd} from './crashes.js';
 import {hasUntriedUpstream} from './exclusions.js';
-import {isStream, priorityOf, type Exchange} from './exchange.js';
+import {isStream, type Exchange} from './exchange.js';
 import {recordModelTime} from './models.js';
 import type {EntryNode} from './node.js';
 import {recordNotice} from './notices.js';
@@ -16,6 +16,7 @@
 import {recordArrival} from './retries.js';
 import type {Selection} from './selection.js';
 import {recordStatements} from './statements.js';
+import {assignUrgency, recordSendBegin, recordSendEnd} from './urgency.js';
 import {
   recordFailure,
   recordReachability,
@@ -32,22 +33,6 @@
 const STREAM_UNRESPONSIVE_TIMEOUT_RATIO = 1.6;
 /** Multiple of the objective after which a send other than a stream is slow. */
 const ANSWER_TIMEOUT_RATIO = 1.5;
-/** Urgency levels for the smallest model, and again for all larger ones. */
-const PRIORITY_LEVEL_COUNT = 4;
-
-/**
- * Computes the urgency level of a send; 0 is the most urgent. Requests for the
- * smallest model precede those for larger ones: their answers decide whether a
- * larger model is asked, and shortest-job-first scheduling reduces the mean wait.
- */
-function computeUrgencyLevel(exchange: Exchange, model?: string): number {
-  const priority = Math.max(0, priorityOf(exchange));
-  const {models} = exchange.route;
-  const isFirst = model === undefined || model === models[0];
-  const base = isFirst ? 0 : PRIORITY_LEVEL_COUNT;
-  return base + Math.min(PRIORITY_LEVEL_COUNT - 1, priority);
-}
-
 /** Sends a request to the selected upstream under a permit for one run. */
 export function startSend(
   node: EntryNode,
@@ -67,9 +52,10 @@
     customer: exchange.customer?.name,
     deadlineMs: Math.floor(exchange.deadlineAt - node.clock()),
     model,
-    urgency: computeUrgencyLevel(exchange, model),
+    urgency: assignUrgency(node, exchange, selection, model),
     lastEventId,
   });
+  recordSendBegin(node, exchange, attempt);
   exchange.cancel = attempt.cancel;
   return attempt;
 }
@@ -104,6 +90,7 @@
       timers.push(setTimeout(cancelIfSlow, objectiveMs * ANSWER_TIMEOUT_RATIO));
   }
   const outcome = await attempt.outcome;
+  recordSendEnd(node, exchange, attempt);
   for (const timer of timers) clearTimeout(timer);
   return outcome;
 }
@@ -159,6 +146,7 @@
     reason: 'reason' in outcome ? outcome.reason : undefined,
     tookMs: Math.round(tookMs),
     model,
+    urgency: attempt.urgency,
     load: 'answer' in outcome ? outcome.answer.load : undefined,
     promptTokens: exchange.caller.promptTokens,
   });
--- a/packages/policy/src/routes.ts
+++ b/packages/policy/src/routes.ts
@@ -4,12 +4,14 @@
   Route,
   RoutingTable,
 } from '@parsleyarch/resource/routing';
+import {listPriorities, type DeclaredPriorities} from './priorities.js';
 
 /** A routing table indexed by host. */
 export interface RouteIndex {
   readonly table: RoutingTable;
   /** Routes of each host, longest path prefix first. */
   readonly hosts: ReadonlyMap<string, readonly Route[]>;
+  readonly priorities: DeclaredPriorities;
 }
 
 export function indexRoutes(table: RoutingTable): RouteIndex {
@@ -21,7 +23,7 @@
   }
   for (const routes of hosts.values())
     routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-  return {table, hosts};
+  return {table, hosts, priorities: listPriorities(table)};
 }
 
 function normalizeHost(authority: string): string {
--- a/packages/policy/test/entry.test.ts
+++ b/packages/policy/test/entry.test.ts
@@ -49,6 +49,18 @@
   limits: {headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
 });
 
+test('priorities of routes and customers are listed by service', t => {
+  const targets = [{service: 'other', weight: 1}];
+  const {priorities} = indexRoutes(
+    makeTable(
+      [{...ROUTE, priority: 9}, ROUTE, {...ROUTE, targets, priority: 4}],
+      new Map([['k', {name: 'c', priority: 2}]]),
+    ),
+  );
+  t.deepEqual(priorities.get('s'), [1, 2, 9]);
+  t.deepEqual(priorities.get('other'), [2, 4]);
+});
+
 test('the longest path prefix of the host matches, ignoring the query', t => {
   const index = indexRoutes(
     makeTable([
