Rank a resumed stream by its pause objective

Cause: the urgency of a resumed stream was computed from the objective of its first event, which has passed by then, so that it was sent behind everything in time.

Change: once the answer has begun, the time left is that of the next pause.

--- a/apps/router/src/entry/urgency.ts
+++ b/apps/router/src/entry/urgency.ts
@@ -27,11 +27,20 @@
   return classOfPriority(priorityOf(exchange), declared);
 }
 
-/** When the caller leaves if it has got nothing, monotonic milliseconds. */
-export function patienceEndsAt(exchange: Exchange): number {
-  const {route, startedAt, deadlineAt} = exchange;
+/** When the next bytes of the answer are late, monotonic milliseconds. */
+export function objectiveEndsAt(exchange: Exchange, now: number): number {
+  const {route, startedAt, response} = exchange;
+  return response.headersSent
+    ? now + route.pauseObjectiveMs
+    : startedAt + route.objectiveMs;
+}
+
+/** When the caller leaves if it gets nothing further, monotonic milliseconds. */
+export function patienceEndsAt(exchange: Exchange, now: number): number {
+  const {route, startedAt, deadlineAt, response} = exchange;
   if (!isStream(exchange)) return deadlineAt;
-  return Math.min(deadlineAt, startedAt + callerGapMs(route));
+  const waitsSince = response.headersSent ? now : startedAt;
+  return Math.min(deadlineAt, waitsSince + callerGapMs(route));
 }
 
 /** Urgency level of a send that begins now; 0 is the most urgent. */
@@ -41,15 +50,15 @@
   {addedWork, presentWork}: Selection,
   model?: string,
 ): number {
-  const {route, service, startedAt} = exchange;
+  const {route, service} = exchange;
   const now = node.clock();
   const expectMs = (work: number) =>
     expectHeaderMs(node.models, service, model ?? '', work);
   const request = {
     priorityClass: priorityClassOf(node, exchange),
     isSmallest: model === undefined || model === route.models[0],
-    untilObjectiveMs: startedAt + route.objectiveMs - now,
-    untilDeadlineMs: patienceEndsAt(exchange) - now,
+    untilObjectiveMs: objectiveEndsAt(exchange, now) - now,
+    untilDeadlineMs: patienceEndsAt(exchange, now) - now,
     aloneMs: expectMs(addedWork),
     expectedMs: expectMs(presentWork + addedWork),
   };
