--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -47,6 +47,7 @@
 import {createReachability, type Reachability} from './reachability.js';
 import type {EntrySettings} from './settings.js';
 import {createStatements, type Statements} from './statements.js';
+import {createTurns, type Turns} from './turns.js';
 import {createVersions, type Versions} from './versions.js';
 
 /** The node's view of one upstream. */
@@ -140,6 +141,7 @@
   /** Sends of each level of urgency, by service. */
   readonly urgencyLevels: Map<string, LevelRecords>;
   readonly load: SharedLoad;
+  readonly turns: Turns;
   readonly crashes: Crashes;
   readonly delegates: Delegates;
   readonly reachability: Reachability;
@@ -221,6 +223,7 @@
     models: createModelStatistics(),
     urgencyLevels: new Map(),
     load: createSharedLoad(),
+    turns: createTurns(performance.now()),
     crashes: createCrashes(),
     delegates: {skipped: new Map()},
     reachability: createReachability(),
