--- a/apps/standins/src/measures/run.ts
+++ b/apps/standins/src/measures/run.ts
@@ -15,6 +15,7 @@
 import {measureOverload} from './overload.js';
 import {measureRollout} from './rollout.js';
 import {measureSpread} from './spread.js';
+import {measureStaleLoad} from './stale-load.js';
 
 export const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
   cascade: measureCascade,
@@ -29,6 +30,7 @@
   'store-outage': measureOutage,
   'node-churn': measureChurn,
   spread: measureSpread,
+  'stale-load': measureStaleLoad,
   'control-cost': measureCost,
 };
 
