Choose upstreams by level where groups exchange sums of load

Cause: with more than 20 nodes a request compared a few random upstreams by sums that are some hundred milliseconds old; up to eight upstreams were all compared, so that all nodes chose the same one.

Change: where a node knows the load of the others and there are groups, it chooses by level (policy/stale-load). Without sums it compares random ones as before. The candidates of a request and the sums of a collector move into files of their own.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -10,6 +10,7 @@
 import * as http from 'node:http';
 import type {EntryNode, UpstreamState} from './node.js';
 import type {Exchange} from './exchange.js';
+import {recordWorkSent} from './placing.js';
 import {recordConnection} from './reachability.js';
 import type {Selection} from './selection.js';
 import {afterEvents} from './turns.js';
@@ -182,6 +183,7 @@
   let timedOut = false;
   upstream.inFlight += 1;
   upstream.pendingWork += addedWork;
+  recordWorkSent(node, registered.service, addedWork);
   const outcome = new Promise<Outcome>(resolve => {
     const connectTimer = setTimeout(
       () => cancel(CONNECT_TIMEOUT_REASON),
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -23,6 +23,14 @@
 import {mergeCrashes, reportCrashes} from './crashes.js';
 import {reportConfirmation} from './feed.js';
 import {recordPeerAnswer} from './following.js';
+import {
+  listCutOff,
+  listGroupCutOff,
+  MAX_LOAD_AGE_MS,
+  sumGroup,
+  sumOthers,
+  type TimedReport,
+} from './load-sums.js';
 import {applyConfirmation, leaveSource} from './sources.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {listLeaving, recordLeaving} from './notices.js';
@@ -30,19 +38,11 @@
 import {listStatements, recordRelayedStatements} from './statements.js';
 
 const SHARE_TIMEOUT_MS = 300;
-/** Age above which reported load is ignored, milliseconds. */
-const MAX_LOAD_AGE_MS = 1_200;
 /** Time for which a collector that did not answer is skipped. */
 const COLLECTOR_SKIP_MS = 2_000;
 /** Work assumed for each request that an upstream reports, in work units. */
 const REPORTED_WORK_UNITS = 0.8;
 
-interface TimedReport {
-  readonly at: number;
-  readonly loads: readonly UpstreamLoad[];
-  readonly cutOff: readonly CutOffNode[];
-}
-
 /** Load that the other nodes place on upstreams, as far as it is known. */
 export interface SharedLoad {
   /** Sums over the other nodes, by upstream. */
@@ -70,20 +70,43 @@
   };
 }
 
-/** Estimates the work at an upstream, in work units. */
-export function workAt(node: EntryNode, state: UpstreamState): number {
-  const localWork = totalWork(state.pendingWork, state.streaming);
-  const now = node.clock();
-  if (now - node.load.receivedAt < MAX_LOAD_AGE_MS) {
+/** Whether this node knows the load of the other nodes. */
+export function knowsOthers({load, clock}: EntryNode): boolean {
+  return clock() - load.receivedAt < MAX_LOAD_AGE_MS;
+}
+
+/**
+ * Work at an upstream, in work units: of requests without an answer yet,
+ * and of all.
+ */
+function estimateWork(node: EntryNode, state: UpstreamState) {
+  const {pendingWork, streaming, load} = state;
+  if (knowsOthers(node)) {
     const others = node.load.others.get(state.registered.id);
-    return (
-      localWork + (others ? totalWork(others.pending, others.streaming) : 0)
-    );
+    const queued = pendingWork + (others?.pending ?? 0);
+    return {
+      queued,
+      all: totalWork(queued, streaming + (others?.streaming ?? 0)),
+    };
   }
-  const {load} = state;
-  if (!load || now - load.at > MAX_LOAD_AGE_MS) return localWork;
+  const local = totalWork(pendingWork, streaming);
+  if (!load || node.clock() - load.at > MAX_LOAD_AGE_MS)
+    return {queued: pendingWork, all: local};
   const reported = load.running + load.waiting + state.sentSinceReport;
-  return Math.max(localWork, reported * REPORTED_WORK_UNITS);
+  return {
+    queued: pendingWork,
+    all: Math.max(local, reported * REPORTED_WORK_UNITS),
+  };
+}
+
+/** Estimates the work at an upstream, in work units. */
+export function workAt(node: EntryNode, state: UpstreamState): number {
+  return estimateWork(node, state).all;
+}
+
+/** The part of the work at an upstream that has no answer yet. */
+export function queuedWorkAt(node: EntryNode, state: UpstreamState): number {
+  return estimateWork(node, state).queued;
 }
 
 /**
@@ -105,13 +128,12 @@
 ): number {
   const {registered, load, sentSinceReport} = state;
   const own = placedHere(state, isEngine);
-  const now = node.clock();
-  if (now - node.load.receivedAt < MAX_LOAD_AGE_MS) {
+  if (knowsOthers(node)) {
     const others = node.load.others.get(registered.id);
     if (!others) return own;
     return own + others.inFlight - (isEngine ? others.streaming : 0);
   }
-  if (!load || now - load.at > MAX_LOAD_AGE_MS) return own;
+  if (!load || node.clock() - load.at > MAX_LOAD_AGE_MS) return own;
   const reported = load.waiting + (isEngine ? 0 : load.running);
   return Math.max(own, reported + sentSinceReport);
 }
@@ -158,57 +180,6 @@
   };
 }
 
-function dropOldReports(node: EntryNode): void {
-  const oldest = node.clock() - MAX_LOAD_AGE_MS;
-  for (const kept of [node.load.reports, node.load.groups]) {
-    for (const [name, {at}] of kept) {
-      if (at < oldest) kept.delete(name);
-    }
-  }
-}
-
-/** Load of the nodes that report to this one, except for one of them. */
-function sumGroup(node: EntryNode, except?: string): UpstreamLoad[] {
-  dropOldReports(node);
-  const sums = new Map<string, UpstreamLoad>();
-  for (const [name, report] of node.load.reports) {
-    if (name !== except) addLoads(sums, report.loads);
-  }
-  return [...sums.values()];
-}
-
-function sumOthers(node: EntryNode, except: string): UpstreamLoad[] {
-  const group = sumGroup(node, except);
-  const sums = new Map(group.map(load => [load.upstream, load]));
-  for (const {loads} of node.load.groups.values()) addLoads(sums, loads);
-  return [...sums.values()];
-}
-
-/** Nodes that report to this one and are cut off from upstreams. */
-function listGroupCutOff(node: EntryNode): CutOffNode[] {
-  return [...node.load.reports.values()].flatMap(({cutOff}) => cutOff);
-}
-
-function listCutOff(node: EntryNode): CutOffNode[] {
-  const groups = [...node.load.groups.values()];
-  return [...listGroupCutOff(node), ...groups.flatMap(({cutOff}) => cutOff)];
-}
-
-function addLoads(
-  sums: Map<string, UpstreamLoad>,
-  loads: readonly UpstreamLoad[],
-): void {
-  for (const {upstream, pending, streaming, inFlight} of loads) {
-    const sum = sums.get(upstream);
-    sums.set(upstream, {
-      upstream,
-      pending: pending + (sum?.pending ?? 0),
-      streaming: streaming + (sum?.streaming ?? 0),
-      inFlight: inFlight + (sum?.inFlight ?? 0),
-    });
-  }
-}
-
 function isSkipped(node: EntryNode, name: string): boolean {
   return (node.load.skipped.get(name) ?? 0) > node.clock();
 }
--- a/apps/router/src/entry/models.ts
+++ b/apps/router/src/entry/models.ts
@@ -8,7 +8,7 @@
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
 import {findLeastWork} from './exclusions.js';
-import {relativeTimeOf} from './selection.js';
+import {relativeTimeOf} from './candidates.js';
 
 /** Cost of the largest model, relative to the value of a good answer. */
 const LARGEST_MODEL_COST_RATIO = 0.16;
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -44,6 +44,7 @@
 import {createDecisionLog} from './notes.js';
 import type {UpstreamNotice} from './notices.js';
 import {createHolderState, type HolderState} from './holder.js';
+import {createPlacing, type Placing} from './placing.js';
 import {createReachability, type Reachability} from './reachability.js';
 import type {EntrySettings} from './settings.js';
 import {createStatements, type Statements} from './statements.js';
@@ -142,6 +143,7 @@
   readonly urgencyLevels: Map<string, LevelRecords>;
   readonly load: SharedLoad;
   readonly turns: Turns;
+  readonly placing: Placing;
   readonly crashes: Crashes;
   readonly delegates: Delegates;
   readonly reachability: Reachability;
@@ -224,6 +226,7 @@
     urgencyLevels: new Map(),
     load: createSharedLoad(),
     turns: createTurns(performance.now()),
+    placing: createPlacing(),
     crashes: createCrashes(),
     delegates: {skipped: new Map()},
     reachability: createReachability(),
--- a/apps/router/src/entry/upstream-records.ts
+++ b/apps/router/src/entry/upstream-records.ts
@@ -4,6 +4,7 @@
 import type {PooledService} from '@parsleyarch/resource/routing';
 import type {Exchange} from './exchange.js';
 import type {EntryNode, UpstreamState} from './node.js';
+import {recordPromptSent} from './placing.js';
 import {promptSegmentKeys} from './prompt-cache.js';
 import {consumeShare} from './upstream-limits.js';
 
@@ -61,7 +62,10 @@
   state.sends.push(now);
   consumeShare(node, state);
   state.sentSinceReport += 1;
-  for (const key of promptSegmentKeys(model, exchange.caller.promptSegments)) {
+  const keys = promptSegmentKeys(model, exchange.caller.promptSegments);
+  const sharedKey = keys.at(-2);
+  if (sharedKey !== undefined) recordPromptSent(node, sharedKey);
+  for (const key of keys) {
     // Re-insertion keeps the map in order of use, so the oldest are evicted first.
     state.promptSegmentSentAt.delete(key);
     state.promptSegmentSentAt.set(key, now);
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -9,6 +9,7 @@
   type EntryNode,
   type UpstreamState,
 } from '@parsleyarch/router/entry/node';
+import {recordWorkSent} from '@parsleyarch/router/entry/placing';
 import {selectUpstream} from '@parsleyarch/router/entry/selection';
 import {recordFailure} from '@parsleyarch/router/entry/upstream-records';
 import {hashName} from '@parsleyarch/policy/rendezvous';
@@ -125,3 +126,39 @@
   pause(node, 'i-1', 3_000);
   t.is(findRetryPauseMs(node, createExchange(['i-1'])), 3_000);
 });
+
+/** Load of the other nodes at an upstream, as sums that have just arrived. */
+function bringSums(node: EntryNode, pendingById: Record<string, number>): void {
+  const loads = Object.entries(pendingById).map(([upstream, pending]) => ({
+    upstream,
+    pending,
+    streaming: 0,
+    inFlight: 1,
+  }));
+  node.load.others = new Map(loads.map(load => [load.upstream, load]));
+  node.load.receivedAt = node.clock();
+}
+
+test('nodes with the same old load split their requests, also those to few upstreams', async t => {
+  const {node} = await createNode(t, 5);
+  bringSums(node, {'i-0': 0, 'i-1': 0.2, 'i-2': 0.4, 'i-3': 0.6, 'i-4': 0.8});
+  for (let sent = 0; sent < 20; sent += 1) recordWorkSent(node, 'api', 0.2);
+  const counts = countChosen(node, 100);
+  t.is(counts.size, 5);
+  t.true(Math.max(...counts.values()) < 30);
+});
+
+test('an upstream that is far more loaded than the others gets nothing', async t => {
+  const {node} = await createNode(t, 20);
+  bringSums(node, {'i-7': 50});
+  t.false(countChosen(node, 200).has('i-7'));
+});
+
+test('without the load of the others, a node compares random upstreams', async t => {
+  const {node, time} = await createNode(t, 20);
+  bringSums(node, {'i-7': 50});
+  time.now += 5_000;
+  const counts = countChosen(node, 500);
+  t.is(counts.size, 20);
+  t.true(Math.max(...counts.values()) < 100);
+});
