--- a/packages/policy/src/pace.ts
+++ b/packages/policy/src/pace.ts
@@ -13,10 +13,6 @@
 const MOMENT_MS = 200;
 /** Readings that the assumption of the usual time counts for. */
 const USUAL_WEIGHT = 1;
-/** Bounds of plausible readings, relative to the usual time. */
-const MIN_FACTOR = 0.1;
-const MAX_FACTOR = 20;
-
 /** Readings of one upstream as sums at a time. */
 export interface PaceSums {
   /** Sum of the readings, each with its weight. */
@@ -30,11 +26,6 @@
   readonly last: number;
 }
 
-/** Whether a reading can be true. */
-export function isPlausiblePace(factor: number): boolean {
-  return factor >= MIN_FACTOR && factor <= MAX_FACTOR;
-}
-
 /** The sums as they are at a later time. */
 export function decayPace({sum, weight, at}: PaceSums, now: number): PaceSums {
   const ratio = Math.exp(-Math.max(0, now - at) / HISTORY_MS);
--- a/packages/policy/src/upstream-choice.ts
+++ b/packages/policy/src/upstream-choice.ts
@@ -14,6 +14,8 @@
   readonly presentWork: number;
   /** Estimated work that the request would add. */
   readonly addedWork: number;
+  /** Time that work takes there, relative to the usual time, which is meant if absent. */
+  readonly timeFactor?: number;
   /** Failures within a short window. */
   readonly failures: number;
   /** Whether connecting to it failed a short time ago. */
@@ -46,7 +48,8 @@
 ): number {
   const domainPenalty = candidate.sameDomain ? 0 : penalties.otherDomain;
   const failurePenalty = candidate.failures * penalties.failure;
-  const work = candidate.presentWork + candidate.addedWork;
+  const {presentWork, addedWork, timeFactor = 1} = candidate;
+  const work = presentWork + addedWork * timeFactor;
   const downPenalty = candidate.down ? DOWN_PENALTY : 0;
   return (
     work +
