Share the pace of upstreams and their last answers between nodes

Cause: a node gets few answers of an upstream, so its own readings of how long work takes there are old, and a send was called unresponsive although the upstream answered other nodes meanwhile.

Work at an upstream counts by its pace. A send is cancelled as unresponsive only if no node got an answer since. Sums say how old they are. The exchange of load moves into a file of its own.

Measured: the tests of load; the one on unresponsive upstreams fails without the change of sending.ts.

--- a/apps/router/src/entry/candidates.ts
+++ b/apps/router/src/entry/candidates.ts
@@ -8,7 +8,7 @@
 import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
 import type {PooledService} from '@parsleyarch/resource/routing';
 import type {Exchange} from './exchange.js';
-import {workAt} from './load.js';
+import {timeFactorOf, workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {
   countCachedTokens,
@@ -98,6 +98,7 @@
     sameDomain: isInOwnDomain(node, state),
     presentWork: workAt(node, state),
     addedWork: prefillWork(Math.max(0, uncachedTokens), relativeTokenTime),
+    timeFactor: timeFactorOf(node, state),
     failures: state.failures.length,
     down: now < state.backoffUntil,
     coldFull: isColdLimitReached(node, service, state),
--- a/apps/router/src/entry/level-selection.ts
+++ b/apps/router/src/entry/level-selection.ts
@@ -13,7 +13,7 @@
   type Comparison,
 } from './candidates.js';
 import type {Exchange} from './exchange.js';
-import {placedHere, queuedWorkAt} from './load.js';
+import {placedHere, queuedWorkAt, timeFactorOf} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {expectWork, nextDraw} from './placing.js';
 
@@ -63,7 +63,7 @@
       exchange.caller.promptTokens,
       comparison.relativeTokenTime,
     ),
-    speed: capacity,
+    speed: capacity / timeFactorOf(node, state),
     isExpectedCached: comparison.cachedChances.has(state),
     idleSinceMs: readIdleTime(node, state, comparison),
   };
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -1,47 +1,33 @@
 /**
- * Load that all nodes together place on the upstreams. Every node reports its
- * own load to a collector and receives the sums over the other nodes, together
- * with the age of the collector's last confirmation by the store. This is soft
- * state: without a collector a node uses its own load and the load that
+ * Load that all nodes together place on the upstreams, and what these say of it. This is
+ * soft state: without sums over the other nodes a node uses its own load and the load that
  * upstreams report with their answers.
  */
-import {registerResource} from '@parsleyarch/lifecycle/manager';
-import {repeat} from '@parsleyarch/lifecycle/process';
-import {callPeer} from '@parsleyarch/peer/client';
 import type {
   CutOffNode,
-  LoadReport,
   LoadSummary,
   UpstreamLoad,
 } from '@parsleyarch/peer/messages';
+import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {
-  hasGroups,
-  listCollectors,
-  shareIntervalMs,
-} from '@parsleyarch/policy/load-sharing';
+  decayPace,
+  estimatePace,
+  recordPace,
+  type PaceHistory,
+  type PaceSums,
+} from '@parsleyarch/policy/pace';
 import {totalWork} from '@parsleyarch/policy/work';
-import {mergeCrashes, reportCrashes} from './crashes.js';
-import {reportConfirmation} from './feed.js';
-import {recordPeerAnswer} from './following.js';
-import {
-  listCutOff,
-  listGroupCutOff,
-  MAX_LOAD_AGE_MS,
-  sumGroup,
-  sumOthers,
-  type TimedReport,
-} from './load-sums.js';
-import {applyConfirmation, leaveSource} from './sources.js';
+import {MAX_LOAD_AGE_MS, PACE_SCALE, type TimedReport} from './load-sums.js';
 import type {EntryNode, UpstreamState} from './node.js';
-import {listLeaving, recordLeaving} from './notices.js';
-import {reportCutOff} from './reachability.js';
-import {listStatements, recordRelayedStatements} from './statements.js';
 
-const SHARE_TIMEOUT_MS = 300;
-/** Time for which a collector that did not answer is skipped. */
-const COLLECTOR_SKIP_MS = 2_000;
 /** Work assumed for each request that an upstream reports, in work units. */
 const REPORTED_WORK_UNITS = 0.8;
+/** Weight of the readings of pace below which an upstream is left out of reports. */
+const MIN_PACE_WEIGHT = 0.1;
+/** Time after which other nodes no longer need to know of an answer. */
+const ANSWER_MEMORY_MS = 10_000;
+/** Time for which one upstream's load fields that cannot be read are logged once. */
+const UNREADABLE_LOG_INTERVAL_MS = 10_000;
 
 /** Load that the other nodes place on upstreams, as far as it is known. */
 export interface SharedLoad {
@@ -51,6 +37,12 @@
   cutOff: readonly CutOffNode[];
   /** When the sums were received, monotonic milliseconds. */
   receivedAt: number;
+  /** Mean age of the reports in the sums at that time; 0 if it is not known. */
+  sumsAgeMs: number;
+  /** How long work takes at upstreams, by answers to this node. */
+  readonly paces: Map<string, PaceHistory>;
+  /** When load fields that cannot be read were last logged, by upstream. */
+  readonly unreadableAt: Map<string, number>;
   /** Reports of the nodes of this collector's group, by node. */
   readonly reports: Map<string, TimedReport>;
   /** Sums of the groups of other collectors, by collector. */
@@ -64,6 +56,9 @@
     others: new Map(),
     cutOff: [],
     receivedAt: -Infinity,
+    sumsAgeMs: 0,
+    paces: new Map(),
+    unreadableAt: new Map(),
     reports: new Map(),
     groups: new Map(),
     skipped: new Map(),
@@ -99,14 +94,48 @@
   };
 }
 
-/** Estimates the work at an upstream, in work units. */
+/** Readings of the other nodes of how long work takes at an upstream. */
+function othersPace(node: EntryNode, id: string): PaceSums | undefined {
+  if (!knowsOthers(node)) return undefined;
+  const {paceSum, paceWeight} = node.load.others.get(id) ?? {};
+  if (!paceSum || !paceWeight) return undefined;
+  return {
+    sum: paceSum / PACE_SCALE,
+    weight: paceWeight / PACE_SCALE,
+    at: node.load.receivedAt,
+  };
+}
+
+/** Time that work takes at an upstream now, relative to the usual time. */
+export function timeFactorOf(
+  node: EntryNode,
+  {registered: {id}}: UpstreamState,
+): number {
+  return estimatePace(
+    node.load.paces.get(id),
+    othersPace(node, id),
+    node.clock(),
+  );
+}
+
+/** Estimates the work at an upstream, in work units of the usual pace. */
 export function workAt(node: EntryNode, state: UpstreamState): number {
-  return estimateWork(node, state).all;
+  return estimateWork(node, state).all * timeFactorOf(node, state);
 }
 
 /** The part of the work at an upstream that has no answer yet. */
 export function queuedWorkAt(node: EntryNode, state: UpstreamState): number {
-  return estimateWork(node, state).queued;
+  return estimateWork(node, state).queued * timeFactorOf(node, state);
+}
+
+/** When an upstream last answered any node, as far as this one knows. */
+export function lastAnswerOf(
+  {load}: EntryNode,
+  {registered, lastAnswerAt}: UpstreamState,
+): number {
+  const {answeredAgoMs} = load.others.get(registered.id) ?? {};
+  if (!answeredAgoMs) return lastAnswerAt;
+  return Math.max(lastAnswerAt, load.receivedAt - answeredAgoMs);
 }
 
 /**
@@ -138,160 +167,66 @@
   return Math.max(own, reported + sentSinceReport);
 }
 
-function listLocalLoads(node: EntryNode): UpstreamLoad[] {
+/** Load of this node, and what upstreams have told it. */
+export function listLocalLoads(node: EntryNode): UpstreamLoad[] {
   const loads: UpstreamLoad[] = [];
+  const now = node.clock();
   for (const state of node.upstreams.values()) {
     const {registered, pendingWork: pending, streaming, inFlight} = state;
-    if (pending <= 0 && streaming === 0) continue;
-    loads.push({upstream: registered.id, pending, streaming, inFlight});
+    const known = node.load.paces.get(registered.id);
+    const pace = known ? decayPace(known, now) : {sum: 0, weight: 0};
+    const answeredAgoMs = Math.max(1, now - state.lastAnswerAt);
+    const isAnswering = answeredAgoMs < ANSWER_MEMORY_MS;
+    const hasPace = pace.weight > MIN_PACE_WEIGHT;
+    if (pending <= 0 && streaming === 0 && !isAnswering && !hasPace) continue;
+    loads.push({
+      upstream: registered.id,
+      pending,
+      streaming,
+      inFlight,
+      paceSum: hasPace ? Math.round(pace.sum * PACE_SCALE) : 0,
+      paceWeight: hasPace ? Math.round(pace.weight * PACE_SCALE) : 0,
+      answeredAgoMs: isAnswering ? Math.round(answeredAgoMs) : 0,
+    });
   }
   return loads;
 }
 
-/** Answers a report: keeps it, and returns the load that its sender lacks. */
-export function collectLoad(
+/** Keeps the sums over the other nodes. */
+export function applySums(
   node: EntryNode,
-  {
-    node: name,
-    loads,
-    isGroup,
-    leaving,
-    statements,
-    cutOff,
-    ...crashes
-  }: LoadReport,
-): LoadSummary {
-  recordLeaving(node, leaving);
-  recordRelayedStatements(node, statements);
-  mergeCrashes(node, crashes);
-  const {reports, groups} = node.load;
-  const report = {at: node.clock(), loads, cutOff};
-  if (!isGroup) reports.set(name, report);
-  else groups.set(name, report);
-  // Another collector lacks only this group; a node lacks all but its own load.
-  const sums = isGroup ? sumGroup(node) : sumOthers(node, name);
-  return {
-    loads: sums,
-    leaving: listLeaving(node),
-    statements: listStatements(node),
-    cutOff: isGroup ? listGroupCutOff(node) : listCutOff(node),
-    ...reportCrashes(node, crashes.crashDigest),
-    ...reportConfirmation(node),
-  };
-}
-
-function isSkipped(node: EntryNode, name: string): boolean {
-  return (node.load.skipped.get(name) ?? 0) > node.clock();
-}
-
-function applySums(
-  node: EntryNode,
-  {loads, cutOff}: Pick<LoadSummary, 'loads' | 'cutOff'>,
+  {loads, cutOff, ageMs}: Pick<LoadSummary, 'loads' | 'cutOff' | 'ageMs'>,
 ): void {
   node.load.others = new Map(loads.map(load => [load.upstream, load]));
   node.load.cutOff = cutOff;
+  node.load.sumsAgeMs = ageMs ?? 0;
   node.load.receivedAt = node.clock();
 }
 
-/** Sends a report to a collector; `undefined` if it does not answer. */
-async function sendReport(
+/** Records the load that an upstream states in an answer. */
+export function recordReportedLoad(
   node: EntryNode,
-  collector: string,
-  load: Pick<LoadReport, 'node' | 'loads' | 'isGroup' | 'cutOff'>,
-): Promise<LoadSummary | undefined> {
-  const address = node.members.get(collector)?.address;
-  const {client} = node.peers;
-  if (!address || !client) return undefined;
-  const report = {
-    ...load,
-    leaving: listLeaving(node),
-    statements: listStatements(node),
-    ...reportCrashes(node, node.crashes.digests.get(collector)),
-  };
-  const sentAt = node.continuousClock();
-  const summary = await callPeer(
-    client,
-    address,
-    'shareLoad',
-    report,
-    SHARE_TIMEOUT_MS,
-  );
-  if (summary.isOk()) {
-    recordPeerAnswer(node);
-    applyConfirmation(node, summary.value, sentAt);
-    recordLeaving(node, summary.value.leaving);
-    recordRelayedStatements(node, summary.value.statements);
-    mergeCrashes(node, summary.value);
-    node.crashes.digests.set(collector, summary.value.crashDigest);
-    return summary.value;
+  state: UpstreamState,
+  {load, unreadableLoad}: UpstreamAnswer,
+): void {
+  const now = node.clock();
+  const {id} = state.registered;
+  if (load) {
+    state.load = {...load, at: now};
+    state.sentSinceReport = 0;
   }
-  node.load.skipped.set(collector, node.clock() + COLLECTOR_SKIP_MS);
-  leaveSource(node, collector, summary.error.message);
-  node.logDecision('collector', {
-    choice: 'pass over',
-    collector,
-    reason: summary.error.message,
-  });
-  return undefined;
-}
-
-async function exchangeGroups(
-  node: EntryNode,
-  collector: string,
-): Promise<void> {
-  const report = {
-    node: node.settings.node,
-    loads: sumGroup(node),
-    isGroup: true,
-    cutOff: listGroupCutOff(node),
-  };
-  const summary = await sendReport(node, collector, report);
-  if (!summary) return;
-  const {loads, cutOff} = summary;
-  node.load.groups.set(collector, {at: node.clock(), loads, cutOff});
-}
-
-/** As a collector, adds this node's load and exchanges sums with the others. */
-async function collectOnce(
-  node: EntryNode,
-  collectors: readonly string[],
-): Promise<void> {
-  const name = node.settings.node;
-  const loads = listLocalLoads(node);
-  const cutOff = reportCutOff(node);
-  node.load.reports.set(name, {at: node.clock(), loads, cutOff});
-  // One call serves both directions, so the first of two by name makes it.
-  const called = collectors.filter(
-    other => other > name && !isSkipped(node, other),
-  );
-  if (hasGroups(node.members.size))
-    await Promise.all(called.map(other => exchangeGroups(node, other)));
-  applySums(node, {loads: sumOthers(node, name), cutOff: listCutOff(node)});
-}
-
-async function shareOnce(node: EntryNode): Promise<void> {
-  const {node: name, failureDomain} = node.settings;
-  const self = {name, failureDomain};
-  const collectors = listCollectors([...node.members.values()], self);
-  const isCollector = hasGroups(node.members.size)
-    ? collectors.includes(name)
-    : collectors.find(other => !isSkipped(node, other)) === name;
-  if (isCollector) return collectOnce(node, collectors);
-  const collector = collectors.find(other => !isSkipped(node, other));
-  if (collector === undefined) return;
-  const loads = listLocalLoads(node);
-  const cutOff = reportCutOff(node);
-  const report = {node: name, loads, isGroup: false, cutOff};
-  const summary = await sendReport(node, collector, report);
-  if (summary) applySums(node, summary);
-}
-
-/** Shares load until the node stops. */
-export function shareLoads(node: EntryNode): void {
-  const running = repeat(
-    () => shareIntervalMs(node.members.size),
-    () => shareOnce(node),
-    error => node.log.error({error: String(error)}, 'sharing load failed'),
+  if (load?.timeFactor !== undefined) {
+    const known = node.load.paces.get(id);
+    node.load.paces.set(id, recordPace(known, load.timeFactor, now));
+  }
+  if (unreadableLoad === undefined) return;
+  node.metrics.unreadableLoads.inc();
+  const {unreadableAt} = node.load;
+  const loggedAt = unreadableAt.get(id) ?? -Infinity;
+  if (now - loggedAt < UNREADABLE_LOG_INTERVAL_MS) return;
+  unreadableAt.set(id, now);
+  node.log.warn(
+    {upstream: id, value: unreadableLoad},
+    'load of an upstream cannot be read; ignored',
   );
-  registerResource(node.manager, 'load', () => void running.end());
 }
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -11,6 +11,7 @@
   readonly crashes: Counter<'service'>;
   readonly delegations: Counter<'outcome'>;
   readonly restorations: Counter;
+  readonly unreadableLoads: Counter;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -74,6 +75,11 @@
       labelNames: ['model', 'use'],
       registers,
     }),
+    unreadableLoads: new Counter({
+      name: 'parsleyarch_entry_unreadable_loads_total',
+      help: 'Load fields of upstreams that could not be read',
+      registers,
+    }),
     inFlight: new Gauge({
       name: 'parsleyarch_entry_in_flight',
       help: 'Requests now being served',
--- a/apps/router/src/entry/placing.ts
+++ b/apps/router/src/entry/placing.ts
@@ -62,10 +62,16 @@
   return {own, others: all - own, all, before};
 }
 
+/** Age of the load of the others that this node knows, milliseconds. */
+export function newsAgeMs(node: EntryNode): number {
+  const {receivedAt, sumsAgeMs} = node.load;
+  const reportAgeMs = sumsAgeMs || shareIntervalMs(node.members.size);
+  return node.clock() - receivedAt + reportAgeMs;
+}
+
 /** Time from the reports in the sums until the next sums are in use, milliseconds. */
 function horizonMs(node: EntryNode): number {
-  const sinceReceivedMs = node.clock() - node.load.receivedAt;
-  return sinceReceivedMs + 2 * shareIntervalMs(node.members.size);
+  return newsAgeMs(node) + shareIntervalMs(node.members.size);
 }
 
 /** What all nodes are expected to send while the present sums are in use. */
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -19,6 +19,7 @@
 import {selectByLevel} from './level-selection.js';
 import {knowsOthers} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
+import {newsAgeMs} from './placing.js';
 
 /** Number of usable upstreams above which some are compared, and not all. */
 const MIN_SAMPLED_COUNT = 8;
@@ -89,7 +90,7 @@
     present: roundWork(presentWork),
     reason,
     level: roundWork(level),
-    newsAgeMs: Math.round(node.clock() - node.load.receivedAt),
+    newsAgeMs: Math.round(newsAgeMs(node)),
     model,
   });
   return {upstream, addedWork, presentWork};
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -9,6 +9,7 @@
 import {recordAbandonedSend, recordPossibleEnd} from './crashes.js';
 import {hasUntriedUpstream} from './exclusions.js';
 import {isStream, type Exchange} from './exchange.js';
+import {lastAnswerOf, recordReportedLoad} from './load.js';
 import {recordModelTime} from './models.js';
 import type {EntryNode} from './node.js';
 import {recordNotice} from './notices.js';
@@ -74,7 +75,8 @@
   const timers: NodeJS.Timeout[] = [];
   if (canRetry) {
     const cancelIfUnresponsive = () => {
-      const unresponsive = attempt.upstream.lastAnswerAt < attempt.startedAt;
+      const lastAnswerAt = lastAnswerOf(node, attempt.upstream);
+      const unresponsive = lastAnswerAt < attempt.startedAt;
       if (unresponsive && hasUntriedUpstream(node, exchange))
         attempt.cancel('upstream is unresponsive', true);
     };
@@ -115,13 +117,9 @@
     recordStatements(node, attempt, outcome.answer);
     if (outcome.kind === 'refused')
       recordRefusal(node, attempt, outcome.answer);
-    const {load} = outcome.answer;
     if (outcome.kind === 'answer' && model)
       recordModelTime(node, exchange, model, attempt.upstreamWork, tookMs);
-    if (load) {
-      upstream.load = {...load, at: node.clock()};
-      upstream.sentSinceReport = 0;
-    }
+    recordReportedLoad(node, upstream, outcome.answer);
   }
   const failed =
     outcome.kind !== 'answer' || (outcome.answer?.status ?? 0) >= 500;
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -20,7 +20,7 @@
   listen,
 } from './ingress.js';
 import {answerConsultation, runRollouts} from './holder.js';
-import {collectLoad, shareLoads} from './load.js';
+import {collectLoad, shareLoads} from './load-exchange.js';
 import {probeWhileCutOff} from './reachability.js';
 import {keepRegistered, routerSubscriber} from './membership.js';
 import {probeForPeer} from './end-probes.js';
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -1,11 +1,26 @@
 /** Tests of shared load and of the confirmations that travel with it. */
-import {createEntryNode, type EntryNode} from '@parsleyarch/router/entry/node';
+import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
+import {createRunRecord} from '@parsleyarch/policy/runs';
+import type {Attempt} from '@parsleyarch/router/entry/attempt';
+import type {Exchange} from '@parsleyarch/router/entry/exchange';
+import {
+  applySums,
+  lastAnswerOf,
+  recordReportedLoad,
+  timeFactorOf,
+} from '@parsleyarch/router/entry/load';
+import {
+  createEntryNode,
+  type EntryNode,
+  type UpstreamState,
+} from '@parsleyarch/router/entry/node';
+import {awaitOutcome} from '@parsleyarch/router/entry/sending';
 import {confirmationAge} from '@parsleyarch/router/entry/freshness';
 import {
   applyConfirmation,
   leaveSource,
 } from '@parsleyarch/router/entry/sources';
-import {collectLoad} from '@parsleyarch/router/entry/load';
+import {collectLoad} from '@parsleyarch/router/entry/load-exchange';
 import {startKeyspace} from '@parsleyarch/standins/keyspace';
 import test, {type ExecutionContext} from 'ava';
 import {
@@ -162,3 +177,96 @@
   leaveSource(node, source, 'no answer');
   await until(() => following.skipped.has(source));
 });
+
+/** A report of one node on one upstream. */
+const report = (node: string, changes: object = {}) => ({
+  node,
+  isGroup: false,
+  ...NOTHING_ELSE,
+  loads: [{...loadOf(0)[0], ...changes}],
+});
+
+/** Registers an upstream without a store. */
+function register(node: EntryNode, id: string): UpstreamState {
+  const registered = {id, service: 'api', incarnation: 1};
+  const state = {registered, pendingWork: 0, streaming: 0, lastAnswerAt: 0};
+  node.upstreams.set(id, state as unknown as UpstreamState);
+  return node.upstreams.get(id)!;
+}
+
+test('how long work takes at an upstream is known from the answers to all nodes', async t => {
+  const [collector, reader] = await createNodes(t, 2);
+  const slow = {paceSum: 3_000, paceWeight: 1_000};
+  collectLoad(collector, report('a', slow));
+  collectLoad(collector, report('b', slow));
+  // A node of an earlier release sends no readings.
+  collectLoad(collector, report('c'));
+  applySums(reader, collectLoad(collector, report('node-1')));
+  const factor = timeFactorOf(reader, register(reader, 'i-1'));
+  t.true(factor > 2.7 && factor < 3);
+  t.is(timeFactorOf(reader, register(reader, 'i-2')), 1);
+});
+
+test('the latest answer of an upstream to any node is known, and no other', async t => {
+  const [collector, reader] = await createNodes(t, 2);
+  collectLoad(collector, report('a', {answeredAgoMs: 900}));
+  collectLoad(collector, report('b', {answeredAgoMs: 300}));
+  collectLoad(collector, report('c'));
+  applySums(reader, collectLoad(collector, report('node-1')));
+  const ago = reader.clock() - lastAnswerOf(reader, register(reader, 'i-1'));
+  t.true(ago >= 300 && ago < 900);
+  t.is(lastAnswerOf(reader, register(reader, 'i-2')), 0);
+});
+
+/** Whether a send to an upstream is cancelled after its time-out without an answer. */
+async function isCancelled(node: EntryNode, upstream: UpstreamState) {
+  let cancelled = false;
+  const attempt = {
+    upstream,
+    startedAt: node.clock(),
+    outcome: new Promise(resolve => setTimeout(resolve, 100, {kind: 'lost'})),
+    cancel: () => (cancelled = true),
+  } as unknown as Attempt;
+  const exchange = {
+    route: {objectiveMs: 40, repeatability: 'resumable'},
+    service: 'api',
+    runs: createRunRecord(true, 2),
+    triedUpstreams: new Set(),
+  } as unknown as Exchange;
+  const answered = setTimeout(
+    () =>
+      applySums(node, {
+        loads: [{...loadOf(0)[0], answeredAgoMs: 1}],
+        cutOff: [],
+      }),
+    10,
+  );
+  await awaitOutcome(node, exchange, attempt);
+  clearTimeout(answered);
+  return cancelled;
+}
+
+test('a send waits at an upstream that answers other nodes, not at one that answers none', async t => {
+  const [node] = await createNodes(t, 1);
+  const answering = register(node, 'i-1');
+  const silent = register(node, 'i-2');
+  t.false(await isCancelled(node, answering));
+  t.true(await isCancelled(node, silent));
+});
+
+test('a load that cannot be read is counted, and logged once', async t => {
+  const [node] = await createNodes(t, 1);
+  const warnings: unknown[] = [];
+  Object.assign(node.log, {warn: (fields: unknown) => warnings.push(fields)});
+  const state = register(node, 'i-1');
+  const answer = {
+    load: {running: 1, waiting: 0, slots: 6},
+    unreadableLoad: '1,0,6,0',
+  } as unknown as UpstreamAnswer;
+  for (let sent = 0; sent < 5; sent += 1)
+    recordReportedLoad(node, state, answer);
+  t.is(state.load?.running, 1);
+  t.is(warnings.length, 1);
+  const {values} = await node.metrics.unreadableLoads.get();
+  t.is(values[0].value, 5);
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -157,6 +157,17 @@
   readonly streaming: number;
   /** Requests with and without an answer. */
   readonly inFlight: number;
+  /**
+   * Decayed sum and weight of the readings of how long work takes there, relative to
+   * the usual time, both times 100; absent from nodes of an earlier release.
+   */
+  readonly paceSum?: number;
+  readonly paceWeight?: number;
+  /**
+   * Time since the latest answer to any of the nodes, milliseconds, at least 1; 0 or
+   * absent if not known.
+   */
+  readonly answeredAgoMs?: number;
 }
 /** An upstream that said in an answer that it is shutting down. */
 export interface LeavingUpstream {
@@ -215,6 +226,8 @@
   readonly statements: readonly UpstreamStatement[];
   /** The sender, or nodes of its group, if they are cut off from upstreams. */
   readonly cutOff: readonly CutOffNode[];
+  /** Mean age of the reports in the sum of a group, milliseconds. */
+  readonly ageMs?: number;
 }
 /** How current a node's knowledge of the store is. */
 export interface Confirmation {
@@ -236,6 +249,8 @@
   /** Nodes that are cut off from upstreams, as far as the collector knows. */
   readonly cutOff: readonly CutOffNode[];
   readonly loads: readonly UpstreamLoad[];
+  /** Mean age of the reports in the sums, milliseconds; 0 or absent if not known. */
+  readonly ageMs?: number;
 }
 /** Requests the store's changes after a revision. */
 export interface ChangesAfter {
