Show how even the load is, and let operators choose the way of choosing

Metrics of the age of the load of other nodes and of the busiest upstream over the mean; the setting balancing.oldLoad goes back to comparing random upstreams.

Measured: the tests of load and selection.

--- a/apps/router/src/entry/load-exchange.ts
+++ b/apps/router/src/entry/load-exchange.ts
@@ -16,6 +16,7 @@
 import {reportConfirmation} from './feed.js';
 import {recordPeerAnswer} from './following.js';
 import {applySums, listLocalLoads} from './load.js';
+import {recordEvenness} from './load-metrics.js';
 import {
   listCutOff,
   listGroupCutOff,
@@ -152,6 +153,7 @@
     cutOff: listCutOff(node),
     ageMs: sumsAgeMs(node),
   });
+  recordEvenness(node);
 }
 
 async function shareOnce(node: EntryNode): Promise<void> {
@@ -170,6 +172,7 @@
   const summary = await sendReport(node, collector, report);
   if (!summary) return;
   applySums(node, summary);
+  recordEvenness(node);
 }
 
 /** Shares load until the node stops. */
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -12,6 +12,8 @@
   readonly delegations: Counter<'outcome'>;
   readonly restorations: Counter;
   readonly unreadableLoads: Counter;
+  readonly loadAge: Gauge;
+  readonly busiestOverMean: Gauge<'service'>;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -75,6 +77,17 @@
       labelNames: ['model', 'use'],
       registers,
     }),
+    loadAge: new Gauge({
+      name: 'parsleyarch_entry_load_age_seconds',
+      help: 'Mean age of the load of other nodes when it arrived',
+      registers,
+    }),
+    busiestOverMean: new Gauge({
+      name: 'parsleyarch_entry_busiest_over_mean',
+      help: 'Work at the busiest upstream of a service over the mean of its upstreams',
+      labelNames: ['service'],
+      registers,
+    }),
     unreadableLoads: new Counter({
       name: 'parsleyarch_entry_unreadable_loads_total',
       help: 'Load fields of upstreams that could not be read',
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -123,7 +123,7 @@
   comparison: Comparison,
 ): Selection | undefined {
   const sound = usable.filter(state => isSound(node, state));
-  if (knowsOthers(node))
+  if (knowsOthers(node) && node.settings.balancing.oldLoad === 'level')
     return chooseByLevel(node, exchange, model, sound, comparison);
   if (usable.length <= MIN_SAMPLED_COUNT) return undefined;
   return chooseFromSample(node, exchange, model, sound, comparison);
--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -61,6 +61,15 @@
     /** Maximum time from SIGTERM to the end of the process. */
     graceSeconds: z.number().positive(),
   }),
+  balancing: z
+    .strictObject({
+      /**
+       * How upstreams are chosen where load of other nodes is old: by the level to which
+       * all nodes fill them, or by comparing a few random ones.
+       */
+      oldLoad: z.enum(['level', 'sample']).default('level'),
+    })
+    .default({oldLoad: 'level'}),
   /** Resources of the machine that the node runs on; a limit left out is unknown. */
   machine: z
     .strictObject({
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -9,6 +9,7 @@
   recordReportedLoad,
   timeFactorOf,
 } from '@parsleyarch/router/entry/load';
+import {recordEvenness} from '@parsleyarch/router/entry/load-metrics';
 import {
   createEntryNode,
   type EntryNode,
@@ -270,3 +271,15 @@
   const {values} = await node.metrics.unreadableLoads.get();
   t.is(values[0].value, 5);
 });
+
+test('operators see how old the load of other nodes is, and how uneven', async t => {
+  const [node] = await createNodes(t, 1);
+  register(node, 'i-1');
+  register(node, 'i-2');
+  applySums(node, {loads: loadOf(1), cutOff: [], ageMs: 500});
+  recordEvenness(node);
+  const [age] = (await node.metrics.loadAge.get()).values;
+  t.true(age.value >= 0.5 && age.value < 1);
+  const [busiest] = (await node.metrics.busiestOverMean.get()).values;
+  t.is(busiest.value, 2);
+});
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -162,3 +162,19 @@
   t.is(counts.size, 20);
   t.true(Math.max(...counts.values()) < 100);
 });
+
+test('operators can choose that random upstreams are compared', async t => {
+  const {node} = await createNode(t, 20);
+  bringSums(node, {'i-7': 50});
+  const lines: Array<Record<string, unknown>> = [];
+  Object.assign(node, {
+    logDecision: (_decision: string, fields: Record<string, unknown>) =>
+      lines.push(fields),
+  });
+  countChosen(node, 1);
+  node.settings.balancing.oldLoad = 'sample';
+  countChosen(node, 1);
+  t.like(lines[0], {reason: 'level', candidates: 20});
+  t.is(lines[1].reason, undefined);
+  t.true(Number(lines[1].candidates) <= 5);
+});
--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -38,6 +38,7 @@
     cold: {over: 1.5, slack: 5},
     rollout: {exposeShare: 0.15, exposeSlack: 30, sessionSeconds: 5},
     stop: {graceSeconds: 5},
+    balancing: {oldLoad: 'level'},
     machine: {},
     logLevel: 'silent',
     ...changes,
