Describe a request only at the upstreams that a choice by level compares

Cause: a choice among 62 engines took 1.8 to 2.3 ms, as each of them became a candidate with all its costs, copied twice, and levels sorted them.

Change: all upstreams are described by their queues only; work and failures are computed for the compared ones. The level is found without sorting.

--- a/apps/router/src/entry/candidates.ts
+++ b/apps/router/src/entry/candidates.ts
@@ -78,26 +78,35 @@
   };
 }
 
+/** Tokens of a prompt that an upstream is expected to read. */
+export function countUncachedTokens(
+  node: EntryNode,
+  exchange: Exchange,
+  state: UpstreamState,
+  {keys, sharedTokens, cachedChances}: Comparison,
+): number {
+  const cachedTokens = Math.max(
+    countCachedTokens(node, state, exchange, keys),
+    sharedTokens * (cachedChances.get(state) ?? 0),
+  );
+  return Math.max(0, exchange.caller.promptTokens - cachedTokens);
+}
+
 export function createCandidate(
   node: EntryNode,
   exchange: Exchange,
   state: UpstreamState,
   comparison: Comparison,
 ): UpstreamCandidate {
-  const {service, keys, sharedTokens, cachedChances, relativeTokenTime} =
-    comparison;
+  const {service, relativeTokenTime} = comparison;
   const now = node.clock();
   dropExpired(state.failures, now - FAILURE_WINDOW_MS);
-  const cachedTokens = Math.max(
-    countCachedTokens(node, state, exchange, keys),
-    sharedTokens * (cachedChances.get(state) ?? 0),
-  );
-  const uncachedTokens = exchange.caller.promptTokens - cachedTokens;
+  const uncachedTokens = countUncachedTokens(node, exchange, state, comparison);
   return {
     id: state.registered.id,
     sameDomain: isInOwnDomain(node, state),
     presentWork: workAt(node, state),
-    addedWork: prefillWork(Math.max(0, uncachedTokens), relativeTokenTime),
+    addedWork: prefillWork(uncachedTokens, relativeTokenTime),
     timeFactor: timeFactorOf(node, state),
     failures: state.failures.length,
     down: now < state.backoffUntil,
@@ -122,7 +131,7 @@
 export function computePenalties(
   exchange: Exchange,
   service: PooledService | undefined,
-  candidates: readonly UpstreamCandidate[],
+  candidates: readonly Pick<UpstreamCandidate, 'presentWork'>[],
 ): CostPenalties {
   const penalties = service?.isEngine ? ENGINE_PENALTIES : SERVICE_PENALTIES;
   const transferWork =
--- a/apps/router/src/entry/level-selection.ts
+++ b/apps/router/src/entry/level-selection.ts
@@ -1,24 +1,26 @@
 /** Chooses an upstream by load that other nodes have reported some time ago. */
-import type {CostPenalties} from '@parsleyarch/policy/upstream-choice';
 import {
   chooseByLevel,
   IDLE_MS,
   type LevelChoice,
-  type QueuedCandidate,
+  type QueuedUpstream,
+  type RequestWork,
 } from '@parsleyarch/policy/stale-load';
 import {prefillWork} from '@parsleyarch/policy/work';
 import {
   computePenalties,
-  createCandidate,
+  countUncachedTokens,
+  isInOwnDomain,
   type Comparison,
 } from './candidates.js';
 import type {Exchange} from './exchange.js';
-import {placedHere, queuedWorkAt, timeFactorOf} from './load.js';
+import {estimateWork, placedHere, timeFactorOf} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {expectWork, nextDraw} from './placing.js';
+import {isColdLimitReached} from './upstream-records.js';
 
-/** A candidate and the upstream that it describes. */
-interface StatedCandidate extends QueuedCandidate {
+/** An upstream and what is known of its queue. */
+interface StatedUpstream extends QueuedUpstream {
   readonly state: UpstreamState;
 }
 
@@ -45,54 +47,56 @@
   return registered.slots / mostSlots;
 }
 
-function createStatedCandidate(
+function describeQueue(
   node: EntryNode,
-  exchange: Exchange,
   state: UpstreamState,
   comparison: Comparison,
   mostSlots: number,
-): StatedCandidate {
-  const candidate = createCandidate(node, exchange, state, comparison);
+): StatedUpstream {
+  const {queued, all} = estimateWork(node, state);
   const capacity = relativeSlots(state, mostSlots, comparison);
+  const speed = capacity / timeFactorOf(node, state);
   return {
-    ...candidate,
     state,
-    presentWork: candidate.presentWork / capacity,
-    queuedWork: queuedWorkAt(node, state) / capacity,
-    uncachedWork: prefillWork(
-      exchange.caller.promptTokens,
-      comparison.relativeTokenTime,
-    ),
-    speed: capacity / timeFactorOf(node, state),
+    sameDomain: isInOwnDomain(node, state),
+    presentWork: all / speed,
+    queuedWork: queued / speed,
+    speed,
+    coldFull: isColdLimitReached(node, comparison.service, state),
     isExpectedCached: comparison.cachedChances.has(state),
     idleSinceMs: readIdleTime(node, state, comparison),
   };
 }
 
-/** A choice with what the log says of it. */
-export interface LevelSelection extends LevelChoice<StatedCandidate> {
-  readonly penalties: CostPenalties;
-}
-
 /** Returns `undefined` if none of the upstreams can accept the request. */
 export function selectByLevel(
   node: EntryNode,
   exchange: Exchange,
   model: string,
-  upstreams: readonly UpstreamState[],
+  states: readonly UpstreamState[],
   comparison: Comparison,
-): LevelSelection | undefined {
-  const mostSlots = Math.max(...upstreams.map(s => s.registered.slots));
-  const candidates = upstreams.map(state =>
-    createStatedCandidate(node, exchange, state, comparison, mostSlots),
-  );
-  const penalties = computePenalties(exchange, comparison.service, candidates);
+): LevelChoice<StatedUpstream> | undefined {
   const {service} = exchange;
-  const choice = chooseByLevel(
-    candidates,
-    penalties,
+  const mostSlots = Math.max(...states.map(s => s.registered.slots));
+  const upstreams = states.map(state =>
+    describeQueue(node, state, comparison, mostSlots),
+  );
+  const {relativeTokenTime} = comparison;
+  const {promptTokens} = exchange.caller;
+  const uncachedWork = prefillWork(promptTokens, relativeTokenTime);
+  const describeWork = ({state}: StatedUpstream): RequestWork => ({
+    addedWork: prefillWork(
+      countUncachedTokens(node, exchange, state, comparison),
+      relativeTokenTime,
+    ),
+    uncachedWork,
+    failures: state.failures.length,
+  });
+  return chooseByLevel(
+    upstreams,
+    describeWork,
+    computePenalties(exchange, comparison.service, upstreams),
     expectWork(node, service, comparison.keys.at(-2) ?? ''),
     nextDraw(node, service, model),
   );
-  return choice && {...choice, penalties};
 }
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -74,7 +74,7 @@
  * Work at an upstream, in work units: of requests without an answer yet,
  * and of all.
  */
-function estimateWork(node: EntryNode, state: UpstreamState) {
+export function estimateWork(node: EntryNode, state: UpstreamState) {
   const {pendingWork, streaming, load} = state;
   if (knowsOthers(node)) {
     const others = node.load.others.get(state.registered.id);
@@ -111,11 +111,9 @@
   node: EntryNode,
   {registered: {id}}: UpstreamState,
 ): number {
-  return estimatePace(
-    node.load.paces.get(id),
-    othersPace(node, id),
-    node.clock(),
-  );
+  const own = node.load.paces.get(id);
+  const others = othersPace(node, id);
+  return own || others ? estimatePace(own, others, node.clock()) : 1;
 }
 
 /** Estimates the work at an upstream, in work units of the usual pace. */
@@ -123,11 +121,6 @@
   return estimateWork(node, state).all * timeFactorOf(node, state);
 }
 
-/** The part of the work at an upstream that has no answer yet. */
-export function queuedWorkAt(node: EntryNode, state: UpstreamState): number {
-  return estimateWork(node, state).queued * timeFactorOf(node, state);
-}
-
 /** When an upstream last answered any node, as far as this one knows. */
 export function lastAnswerOf(
   {load}: EntryNode,
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -80,12 +80,13 @@
   if (upstreams.length === 0) return undefined;
   const choice = selectByLevel(node, exchange, model, upstreams, comparison);
   if (!choice) return undefined;
-  const {candidate, cost, level, reason} = choice;
-  const {state: upstream, addedWork, presentWork} = candidate;
+  const {cost, level, reason} = choice;
+  const {state: upstream, presentWork} = choice.upstream;
+  const {addedWork} = choice.work;
   node.logDecision('select', {
     requestId: exchange.caller.attemptId,
     candidates: upstreams.length,
-    choice: candidate.id,
+    choice: upstream.registered.id,
     cost: roundWork(cost),
     present: roundWork(presentWork),
     reason,
--- a/apps/standins/src/measures/stale-load.ts
+++ b/apps/standins/src/measures/stale-load.ts
@@ -11,9 +11,12 @@
 import {
   chooseByLevel,
   IDLE_MS,
-  type QueuedCandidate,
+  type QueuedUpstream,
 } from '@parsleyarch/policy/stale-load';
-import {chooseCandidate} from '@parsleyarch/policy/upstream-choice';
+import {
+  chooseCandidate,
+  type UpstreamCandidate,
+} from '@parsleyarch/policy/upstream-choice';
 import type {MeasurementResult} from './figures.js';
 import {
   playLoad,
@@ -28,7 +31,7 @@
 const CACHED_CHANCES = [0.8, 0.3];
 const DRAW_PERIOD_MS = 500;
 
-interface ModelCandidate extends QueuedCandidate {
+interface ModelCandidate extends QueuedUpstream, UpstreamCandidate {
   readonly index: number;
 }
 
@@ -50,7 +53,6 @@
     presentWork,
     queuedWork: presentWork,
     addedWork: size * (1 - saved),
-    uncachedWork: size,
     failures: 0,
     down: false,
     coldFull: false,
@@ -77,6 +79,11 @@
     const period = Math.floor(now / DRAW_PERIOD_MS);
     const choice = chooseByLevel(
       listCandidates(view),
+      ({addedWork, failures}) => ({
+        addedWork,
+        failures,
+        uncachedWork: view.size,
+      }),
       PENALTIES,
       {
         ownDomainWork: work / domainCount,
@@ -89,7 +96,7 @@
         random: view.random(),
       },
     );
-    return choice?.candidate.index ?? 0;
+    return choice?.upstream.index ?? 0;
   };
 }
 
--- a/packages/policy/src/stale-load.ts
+++ b/packages/policy/src/stale-load.ts
@@ -7,7 +7,7 @@
  * that have just told this node in an answer that no request waits, which only this node
  * knows. Pure functions only.
  */
-import type {CostPenalties, UpstreamCandidate} from './upstream-choice.js';
+import type {CostPenalties} from './upstream-choice.js';
 import {computeLevel, pickQueue, type Queue} from './water-filling.js';
 
 /** Time for which an upstream is expected to have no queue after it said so. */
@@ -17,20 +17,33 @@
 /** Work that is expected at least, in work units. */
 const MIN_EXPECTED_WORK = 1;
 
-/** An upstream with what is known of its queue. */
-export interface QueuedCandidate extends UpstreamCandidate {
-  /** Part of the present work that is done before the request starts. */
+/** An upstream with what is known of its queue; work is in the unit of work.ts. */
+export interface QueuedUpstream {
+  readonly sameDomain: boolean;
+  /** Work that it already has from all nodes, in the time that it takes there. */
+  readonly presentWork: number;
+  /** Part of the present work that is done before another request starts. */
   readonly queuedWork: number;
   /** Work units done in the time in which an undisturbed upstream does one. */
   readonly speed: number;
-  /** Work that the request would add if nothing of its prompt were cached. */
-  readonly uncachedWork: number;
+  /** Whether this node has used up its send limit for the cold upstream. */
+  readonly coldFull: boolean;
   /** Whether nodes expect the shared part of the prompt there. */
   readonly isExpectedCached: boolean;
   /** Time since it told this node that none waits; absent if it is not known. */
   readonly idleSinceMs?: number;
 }
 
+/** What a request means to an upstream. */
+export interface RequestWork {
+  /** Work that it would add. */
+  readonly addedWork: number;
+  /** The same if nothing of its prompt were cached. */
+  readonly uncachedWork: number;
+  /** Failures of the upstream within a short window. */
+  readonly failures: number;
+}
+
 /** What is expected of other requests. */
 export interface Expectation {
   /** Work that nodes of the own failure domain send until the next report. */
@@ -56,8 +69,9 @@
 export type ChoiceReason = (typeof ChoiceReason)[keyof typeof ChoiceReason];
 
 /** The chosen upstream. */
-export interface LevelChoice<C extends QueuedCandidate> {
-  readonly candidate: C;
+export interface LevelChoice<U extends QueuedUpstream> {
+  readonly upstream: U;
+  readonly work: RequestWork;
   readonly cost: number;
   readonly reason: ChoiceReason;
   /** Level to which the upstreams of the own failure domain are filled. */
@@ -73,46 +87,47 @@
   readonly meanQueue: number;
 }
 
-function queueOf({presentWork, speed}: QueuedCandidate): Queue {
+function queueOf({presentWork, speed}: QueuedUpstream): Queue {
   return {delay: presentWork, speed};
 }
 
 function describeSide(
-  candidates: readonly QueuedCandidate[],
+  upstreams: readonly QueuedUpstream[],
   work: number,
 ): Side {
   let speed = 0;
   let queued = 0;
   let present = 0;
-  for (const candidate of candidates) {
-    speed += candidate.speed;
-    queued += candidate.queuedWork * candidate.speed;
-    present += candidate.presentWork * candidate.speed;
+  for (const upstream of upstreams) {
+    speed += upstream.speed;
+    queued += upstream.queuedWork * upstream.speed;
+    present += upstream.presentWork * upstream.speed;
   }
   // A node that is new has sent nothing yet; about as much is sent as is there now.
   const expected = Math.max(work, present, MIN_EXPECTED_WORK);
   return {
     work: expected,
-    level: computeLevel(candidates.map(queueOf), expected),
+    level: computeLevel(upstreams.map(queueOf), expected),
     meanQueue: speed > 0 ? queued / speed : 0,
   };
 }
 
 /** Cost of a request at an upstream, in work units. */
 function costOf(
-  candidate: QueuedCandidate,
+  upstream: QueuedUpstream,
+  {addedWork, failures}: RequestWork,
   side: Side,
   penalties: CostPenalties,
 ): number {
-  const {queuedWork, presentWork, idleSinceMs, addedWork, speed} = candidate;
+  const {queuedWork, presentWork, idleSinceMs, speed} = upstream;
   const streamingWork = presentWork - queuedWork;
   const expectedQueue = REMAINING_QUEUE_RATIO * side.meanQueue;
   const wait =
     idleSinceMs === undefined
       ? expectedQueue + Math.max(0, presentWork - side.level)
       : expectedQueue * (idleSinceMs / IDLE_MS);
-  const domainPenalty = candidate.sameDomain ? 0 : penalties.otherDomain;
-  const failurePenalty = candidate.failures * penalties.failure;
+  const domainPenalty = upstream.sameDomain ? 0 : penalties.otherDomain;
+  const failurePenalty = failures * penalties.failure;
   return (
     wait + streamingWork + addedWork / speed + domainPenalty + failurePenalty
   );
@@ -120,92 +135,80 @@
 
 /** Whether the requests with the same shared part fit where it is cached. */
 function hasRoomForPrompt(
-  cached: readonly QueuedCandidate[],
+  cached: readonly RequestWork[],
   {samePromptCount}: Expectation,
   meanQueue: number,
   random: number,
 ): boolean {
   let savedWork = 0;
-  let addedWork = Infinity;
-  for (const candidate of cached) {
-    savedWork += Math.max(0, candidate.uncachedWork - candidate.addedWork);
-    addedWork = Math.min(addedWork, candidate.addedWork);
+  let leastWork = Infinity;
+  for (const {addedWork, uncachedWork} of cached) {
+    savedWork += Math.max(0, uncachedWork - addedWork);
+    leastWork = Math.min(leastWork, addedWork);
   }
   const room = savedWork + REMAINING_QUEUE_RATIO * meanQueue;
-  return random * samePromptCount * addedWork <= room;
+  return random * samePromptCount * leastWork <= room;
 }
 
 /**
  * Draws an upstream. The own failure domain is filled first, and another one as far as
  * its level with the penalty for the distance is lower.
  */
-function drawByLevel<C extends QueuedCandidate>(
-  candidates: readonly C[],
+function drawByLevel<U extends QueuedUpstream>(
+  upstreams: readonly U[],
   own: Side,
   other: Side,
   penalties: CostPenalties,
   position: number,
-): C | undefined {
-  const hasOwn = candidates.some(({sameDomain}) => sameDomain);
-  const queues = candidates.map(({presentWork, speed, sameDomain}) => {
+): U | undefined {
+  const hasOwn = upstreams.some(({sameDomain}) => sameDomain);
+  const queues = upstreams.map(({presentWork, speed, sameDomain}) => {
     if (sameDomain || !hasOwn) return {delay: presentWork, speed};
     const delay = Math.max(presentWork, other.level) + penalties.otherDomain;
     return {delay, speed};
   });
   const level = computeLevel(queues, hasOwn ? own.work : other.work);
   const index = pickQueue(queues, level, position);
-  return index === undefined ? undefined : candidates[index];
-}
-
-/** The upstreams to compare, and why. */
-function listCompared<C extends QueuedCandidate>(
-  candidates: readonly C[],
-  drawn: C | undefined,
-  fitsPrompt: boolean,
-): Map<C, ChoiceReason> {
-  const compared = new Map<C, ChoiceReason>();
-  if (drawn) compared.set(drawn, ChoiceReason.level);
-  for (const candidate of candidates) {
-    if (candidate.idleSinceMs !== undefined)
-      compared.set(candidate, ChoiceReason.idle);
-    if (fitsPrompt && candidate.isExpectedCached)
-      compared.set(candidate, ChoiceReason.cached);
-  }
-  return compared;
+  return index === undefined ? undefined : upstreams[index];
 }
 
 /** Returns the cheapest of the compared upstreams; `undefined` when all are `coldFull`. */
-export function chooseByLevel<C extends QueuedCandidate>(
-  all: readonly C[],
+export function chooseByLevel<U extends QueuedUpstream>(
+  all: readonly U[],
+  /** Called for the upstreams that are compared only. */
+  workAt: (upstream: U) => RequestWork,
   penalties: CostPenalties,
   expectation: Expectation,
   {position, random}: Draw,
-): LevelChoice<C> | undefined {
-  const candidates = all.filter(({coldFull}) => !coldFull);
-  const isOwn = ({sameDomain}: C) => sameDomain;
-  const own = describeSide(candidates.filter(isOwn), expectation.ownDomainWork);
+): LevelChoice<U> | undefined {
+  const upstreams = all.filter(({coldFull}) => !coldFull);
+  const own = describeSide(
+    upstreams.filter(({sameDomain}) => sameDomain),
+    expectation.ownDomainWork,
+  );
   const other = describeSide(
-    candidates.filter(candidate => !isOwn(candidate)),
+    upstreams.filter(({sameDomain}) => !sameDomain),
     expectation.otherDomainWork,
   );
-  const drawn = drawByLevel(candidates, own, other, penalties, position);
-  const cached = candidates.filter(({isExpectedCached}) => isExpectedCached);
-  const fitsPrompt = hasRoomForPrompt(
-    cached,
-    expectation,
-    Math.max(own.meanQueue, other.meanQueue),
-    random,
-  );
-  let best: LevelChoice<C> | undefined;
-  for (const [candidate, reason] of listCompared(
-    candidates,
-    drawn,
-    fitsPrompt,
-  )) {
-    const side = candidate.sameDomain ? own : other;
-    const cost = costOf(candidate, side, penalties);
+  let best: LevelChoice<U> | undefined;
+  const compare = (upstream: U, work: RequestWork, reason: ChoiceReason) => {
+    const side = upstream.sameDomain ? own : other;
+    const cost = costOf(upstream, work, side, penalties);
     if (!best || cost < best.cost)
-      best = {candidate, cost, reason, level: side.level};
+      best = {upstream, work, cost, reason, level: side.level};
+  };
+  const drawn = drawByLevel(upstreams, own, other, penalties, position);
+  if (drawn) compare(drawn, workAt(drawn), ChoiceReason.level);
+  const cached = upstreams.filter(({isExpectedCached}) => isExpectedCached);
+  const works = cached.map(workAt);
+  const meanQueue = Math.max(own.meanQueue, other.meanQueue);
+  if (hasRoomForPrompt(works, expectation, meanQueue, random)) {
+    for (const [index, upstream] of cached.entries())
+      compare(upstream, works[index], ChoiceReason.cached);
+  }
+  for (const upstream of upstreams) {
+    if (upstream.idleSinceMs !== undefined)
+      compare(upstream, workAt(upstream), ChoiceReason.idle);
   }
   return best;
 }
--- a/packages/policy/src/water-filling.ts
+++ b/packages/policy/src/water-filling.ts
@@ -16,17 +16,21 @@
 
 /** The delay to which an amount of work fills the shortest queues. */
 export function computeLevel(queues: readonly Queue[], amount: number): number {
-  const sorted = [...queues].sort((a, b) => a.delay - b.delay);
-  let speed = 0;
-  let queued = 0;
   let level = Infinity;
-  for (const queue of sorted) {
-    if (queue.delay >= level) break;
-    speed += queue.speed;
-    queued += queue.speed * queue.delay;
-    level = (amount + queued) / speed;
+  for (;;) {
+    let speed = 0;
+    let queued = 0;
+    for (const queue of queues) {
+      if (queue.delay >= level) continue;
+      speed += queue.speed;
+      queued += queue.speed * queue.delay;
+    }
+    if (speed === 0) return level;
+    // Without the queues that are longer the level is lower, so that it converges.
+    const next = (amount + queued) / speed;
+    if (next >= level) return level;
+    level = next;
   }
-  return level;
 }
 
 /** Work that fills a queue up to a level. */
--- a/packages/policy/test/stale-load.test.ts
+++ b/packages/policy/test/stale-load.test.ts
@@ -7,7 +7,8 @@
 import {
   chooseByLevel,
   IDLE_MS,
-  type QueuedCandidate,
+  type QueuedUpstream,
+  type RequestWork,
 } from '@parsleyarch/policy/stale-load';
 import {
   computeLevel,
@@ -87,11 +88,13 @@
   samePromptCount: 0,
 };
 
+type Candidate = QueuedUpstream & RequestWork & {readonly id: string};
+
 function createCandidate(
   id: string,
   work: number,
-  changes: Partial<QueuedCandidate> = {},
-): QueuedCandidate {
+  changes: Partial<Candidate> = {},
+): Candidate {
   return {
     id,
     sameDomain: true,
@@ -100,7 +103,6 @@
     addedWork: 1,
     uncachedWork: 1,
     failures: 0,
-    down: false,
     coldFull: false,
     speed: 1,
     isExpectedCached: false,
@@ -110,17 +112,20 @@
 
 /** How often each of the candidates is chosen, at even positions. */
 function countChoices(
-  candidates: readonly QueuedCandidate[],
+  candidates: readonly Candidate[],
   expectation = NOTHING_EXPECTED,
 ): Record<string, number> {
   const random = seededRandom(1);
   const counts: Record<string, number> = {};
   for (let draw = 0; draw < 100; draw += 1) {
-    const choice = chooseByLevel(candidates, PENALTIES, expectation, {
-      position: draw / 100,
-      random: random(),
-    });
-    const id = choice?.candidate.id ?? 'none';
+    const choice = chooseByLevel(
+      candidates,
+      candidate => candidate,
+      PENALTIES,
+      expectation,
+      {position: draw / 100, random: random()},
+    );
+    const id = choice?.upstream.id ?? 'none';
     counts[id] = (counts[id] ?? 0) + 1;
   }
   return counts;
