--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -19,6 +19,7 @@
 import {selectByLevel} from './level-selection.js';
 import {knowsOthers} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
+import {newsAgeMs} from './placing.js';
 
 /** Number of usable upstreams above which some are compared, and not all. */
 const MIN_SAMPLED_COUNT = 8;
@@ -79,17 +80,18 @@
   if (upstreams.length === 0) return undefined;
   const choice = selectByLevel(node, exchange, model, upstreams, comparison);
   if (!choice) return undefined;
-  const {candidate, cost, level, reason} = choice;
-  const {state: upstream, addedWork, presentWork} = candidate;
+  const {cost, level, reason} = choice;
+  const {state: upstream, presentWork} = choice.upstream;
+  const {addedWork} = choice.work;
   node.logDecision('select', {
     requestId: exchange.caller.attemptId,
     candidates: upstreams.length,
-    choice: candidate.id,
+    choice: upstream.registered.id,
     cost: roundWork(cost),
     present: roundWork(presentWork),
     reason,
     level: roundWork(level),
-    newsAgeMs: Math.round(node.clock() - node.load.receivedAt),
+    newsAgeMs: Math.round(newsAgeMs(node)),
     model,
   });
   return {upstream, addedWork, presentWork};
@@ -122,7 +124,7 @@
   comparison: Comparison,
 ): Selection | undefined {
   const sound = usable.filter(state => isSound(node, state));
-  if (knowsOthers(node))
+  if (knowsOthers(node) && node.settings.balancing.oldLoad === 'level')
     return chooseByLevel(node, exchange, model, sound, comparison);
   if (usable.length <= MIN_SAMPLED_COUNT) return undefined;
   return chooseFromSample(node, exchange, model, sound, comparison);
