Model swinging failure domains and nodes without load of others

Two failures and loads of the choice by level are shown on modelled queues: domains whose load swings by half at phases of their own, and a third or all of the nodes without news from the middle of the run.

--- a/apps/standins/src/measures/stale-load-model.ts
+++ b/apps/standins/src/measures/stale-load-model.ts
@@ -31,6 +31,10 @@
   /** How much longer work takes at some upstreams for some seconds; 1 for none. */
   readonly slowFactor: number;
   readonly domainCount: number;
+  /** How far the load of a failure domain swings, each at its own phase. */
+  readonly domainSwing: number;
+  /** Part of the nodes that get no load of others in the second half. */
+  readonly cutOffRatio: number;
 }
 
 /** What a node knows when it chooses; work is in units. */
@@ -163,6 +167,8 @@
   const {scenario, jobs, phases} = model;
   const {ageMs, upstreamCount} = scenario;
   const news = model.news[node];
+  const isCutOff = node < scenario.cutOffRatio * scenario.nodeCount;
+  if (isCutOff && now > DURATION_MS / 2) return;
   const round = Math.floor(now / ageMs - phases[node]);
   const at = ageMs > 0 ? (round + phases[node]) * ageMs : now;
   if (at <= news.at) return;
@@ -196,10 +202,29 @@
   readonly prompt: number;
 }
 
-function drawRequest({scenario, random}: Model, promptCount: number): Request {
-  const {sizes, hotRatio, nodeCount} = scenario;
+/** Load of a failure domain, relative to its mean. */
+function domainLoad(
+  domain: number,
+  {domainCount, domainSwing}: Scenario,
+  now: number,
+): number {
+  const phase = now / WAVE_PERIOD_MS + domain / domainCount;
+  return 1 + domainSwing * Math.sin(2 * Math.PI * phase);
+}
+
+function drawRequest(
+  {scenario, random}: Model,
+  promptCount: number,
+  now: number,
+): Request {
+  const {sizes, hotRatio, nodeCount, domainCount, domainSwing} = scenario;
   // Nodes are unevenly loaded: one gets up to twice the mean.
-  const node = Math.floor(random() ** 1.3 * nodeCount);
+  let node = Math.floor(random() ** 1.3 * nodeCount);
+  while (
+    random() >
+    domainLoad(node % domainCount, scenario, now) / (1 + domainSwing)
+  )
+    node = Math.floor(random() ** 1.3 * nodeCount);
   const size = sizes[Math.floor(random() * sizes.length)];
   const prompt =
     random() < hotRatio ? 0 : 1 + Math.floor(random() ** 1.3 * promptCount);
@@ -291,6 +316,8 @@
   readonly meanMs: number;
   readonly p95Ms: number;
   readonly cachedRatio: number;
+  /** Part of the requests that are sent to another failure domain. */
+  readonly otherDomainRatio: number;
 }
 
 function percentile95(values: number[]): number {
@@ -342,9 +369,10 @@
   const windows: number[][] = [];
   let idle = 0;
   let cached = 0;
+  let otherDomain = 0;
   for (const now of arrivals(model)) {
     dropOldJobs(model, now);
-    const request = drawRequest(model, promptCount);
+    const request = drawRequest(model, promptCount, now);
     const upstream = rule(createView(model, request, now, choose));
     const hasIdle = model.freeAt.some(places => Math.min(...places) <= now);
     const sent = send(model, request, upstream, now);
@@ -353,6 +381,8 @@
     totals.push(sent.tookMs);
     if (sent.waitMs > 1 && hasIdle) idle += 1;
     if (sent.cached) cached += 1;
+    const {domainCount} = scenario;
+    if (upstream % domainCount !== request.node % domainCount) otherDomain += 1;
     const window = Math.floor(now / WINDOW_MS);
     windows[window] ??= times(scenario.upstreamCount, () => 0);
     windows[window][upstream] += sent.work;
@@ -364,5 +394,6 @@
     meanMs: Math.round(totals.reduce((a, b) => a + b, 0) / totals.length),
     p95Ms: percentile95(totals),
     cachedRatio: round(cached / totals.length, 2),
+    otherDomainRatio: round(otherDomain / totals.length, 2),
   };
 }
--- a/apps/standins/src/measures/stale-load.ts
+++ b/apps/standins/src/measures/stale-load.ts
@@ -30,6 +30,8 @@
 /** Probability that the prompt is cached, by the rank of the upstream. */
 const CACHED_CHANCES = [0.8, 0.3];
 const DRAW_PERIOD_MS = 500;
+/** Age above which the router does not use the load of others. */
+const MAX_LOAD_AGE_MS = 1_200;
 
 interface ModelCandidate extends QueuedUpstream, UpstreamCandidate {
   readonly index: number;
@@ -70,6 +72,7 @@
 function createLevelRule(): Rule {
   const positions = new Map<number, SpreadPositions>();
   return view => {
+    if (view.ageMs > MAX_LOAD_AGE_MS) return chooseFromSample(view);
     const {scenario, node, now, workPerMs, samePrompt} = view;
     const {nodeCount, domainCount, ageMs} = scenario;
     const own = positions.get(node) ?? createSpreadPositions();
@@ -152,6 +155,8 @@
     ageMs,
     slowFactor: 1,
     domainCount: 4,
+    domainSwing: 0,
+    cutOffRatio: 0,
   };
 }
 
--- a/apps/standins/test/stale-load.test.ts
+++ b/apps/standins/test/stale-load.test.ts
@@ -47,3 +47,23 @@
       t.true(level.waitWhileIdle < other.waitWhileIdle);
     }
   });
+
+for (const [name, create] of Object.entries({engines, plainService})) {
+  test(`load of failure domains that swings is served without more work sent to others: ${name}`, t => {
+    const scenario = {...create(58, 600), cachedRatio: 0, domainSwing: 0.5};
+    const level = play(scenario, 'level');
+    const sample = play(scenario, 'sample');
+    t.log({level, sample});
+    t.true(level.p95Ms < sample.p95Ms);
+    t.true(level.otherDomainRatio < sample.otherDomainRatio);
+  });
+
+  for (const cutOffRatio of [0.34, 1])
+    test(`nodes without load of others do no worse than two random choices: ${name}, ${cutOffRatio}`, t => {
+      const scenario = {...create(58, 600), cutOffRatio};
+      const level = play(scenario, 'level');
+      const two = play(scenario, 'two');
+      t.log({level, two});
+      t.true(level.p95Ms <= two.p95Ms);
+    });
+}
