Expect the work of the mean upstream ahead of a request by old load

Cause: the time of larger models was learned with the work at the chosen upstream by old figures, and predicted with that at the least loaded one, which is nearly always 0 among many. Since the choice is by level, the two differ, and larger models seem faster than they are.

Change: both use the work that a request is expected to find: half of the mean queue, and what streams. Where load is young the least loaded upstream counts as before.

Measured: the tests of selection.

--- a/apps/router/src/entry/exclusions.ts
+++ b/apps/router/src/entry/exclusions.ts
@@ -1,7 +1,8 @@
 /** Which upstreams a request may not use, and what is left. */
+import {expectMeanWorkAhead} from '@parsleyarch/policy/stale-load';
 import {timeUntilRoom} from './brittle-upstreams.js';
 import type {Exchange} from './exchange.js';
-import {workAt} from './load.js';
+import {choosesByLevel, loadAt, workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {isLeaving, pausedUntil} from './notices.js';
 import {timeUntilShare} from './upstream-limits.js';
@@ -68,15 +69,18 @@
   return {usable, registered};
 }
 
-/** Work at the least loaded upstream that the request may use, tried or not. */
-export function findLeastWork(node: EntryNode, exchange: Exchange): number {
-  let leastWork = Infinity;
+/** Work that a request is expected to find where it is sent next, tried or not. */
+export function findWorkAhead(node: EntryNode, exchange: Exchange): number {
+  const usable: UpstreamState[] = [];
   for (const state of node.upstreams.values()) {
     const exclusion = findExclusion(node, exchange, state);
-    if (exclusion && exclusion !== 'tried') continue;
-    leastWork = Math.min(leastWork, workAt(node, state));
+    if (!exclusion || exclusion === 'tried') usable.push(state);
   }
-  return leastWork === Infinity ? 0 : leastWork;
+  if (usable.length === 0) return 0;
+  // All nodes fill upstreams to one level; else the least loaded one is chosen.
+  return choosesByLevel(node)
+    ? expectMeanWorkAhead(usable.map(state => loadAt(node, state)))
+    : Math.min(...usable.map(state => workAt(node, state)));
 }
 
 /**
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -9,6 +9,7 @@
   UpstreamLoad,
 } from '@parsleyarch/peer/messages';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
+import {hasGroups} from '@parsleyarch/policy/load-sharing';
 import {
   decayPace,
   estimatePace,
@@ -70,6 +71,12 @@
   return clock() - load.receivedAt < MAX_LOAD_AGE_MS;
 }
 
+/** Whether the load of others is known, but so old that the least loaded misleads. */
+export function choosesByLevel(node: EntryNode): boolean {
+  if (!hasGroups(node.members.size) || !knowsOthers(node)) return false;
+  return node.settings.balancing.oldLoad === 'level';
+}
+
 /**
  * Work at an upstream, in work units: of requests without an answer yet,
  * and of all.
@@ -116,9 +123,16 @@
   return own || others ? estimatePace(own, others, node.clock()) : 1;
 }
 
+/** Work at an upstream in the time that it takes there: without an answer yet, and all. */
+export function loadAt(node: EntryNode, state: UpstreamState) {
+  const {queued, all} = estimateWork(node, state);
+  const factor = timeFactorOf(node, state);
+  return {queued: queued * factor, all: all * factor};
+}
+
 /** Estimates the work at an upstream, in work units of the usual pace. */
 export function workAt(node: EntryNode, state: UpstreamState): number {
-  return estimateWork(node, state).all * timeFactorOf(node, state);
+  return loadAt(node, state).all;
 }
 
 /** When an upstream last answered any node, as far as this one knows. */
--- a/apps/router/src/entry/models.ts
+++ b/apps/router/src/entry/models.ts
@@ -7,7 +7,7 @@
 import {prefillWork} from '@parsleyarch/policy/work';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
-import {findLeastWork} from './exclusions.js';
+import {findWorkAhead} from './exclusions.js';
 import {relativeTimeOf} from './candidates.js';
 
 /** Cost of the largest model, relative to the value of a good answer. */
@@ -113,7 +113,7 @@
   const costs = node.routes?.table.services.get(service)?.modelCosts;
   const largest = route.models.at(-1) ?? name;
   const largestCost = costs?.get(largest) ?? 1;
-  const presentWork = findLeastWork(node, exchange);
+  const presentWork = findWorkAhead(node, exchange);
   const pooledService = node.routes?.table.services.get(service);
   const relativeTokenTime = relativeTimeOf(pooledService, exchange, name);
   const requestWork = prefillWork(
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -17,7 +17,7 @@
 import type {Exchange} from './exchange.js';
 import {countUsableUpstreams, findExclusion} from './exclusions.js';
 import {selectByLevel} from './level-selection.js';
-import {knowsOthers} from './load.js';
+import {choosesByLevel} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {newsAgeMs} from './placing.js';
 
@@ -29,7 +29,7 @@
   readonly upstream: UpstreamState;
   /** Work that the request adds. */
   readonly addedWork: number;
-  /** Work that all nodes together had placed there before. */
+  /** Work that it is expected to find there. */
   readonly presentWork: number;
 }
 
@@ -80,7 +80,7 @@
   if (upstreams.length === 0) return undefined;
   const choice = selectByLevel(node, exchange, model, upstreams, comparison);
   if (!choice) return undefined;
-  const {cost, level, reason} = choice;
+  const {cost, level, reason, workAhead} = choice;
   const {state: upstream, presentWork} = choice.upstream;
   const {addedWork} = choice.work;
   node.logDecision('select', {
@@ -90,11 +90,12 @@
     cost: roundWork(cost),
     present: roundWork(presentWork),
     reason,
+    ahead: roundWork(workAhead),
     level: roundWork(level),
     newsAgeMs: Math.round(newsAgeMs(node)),
     model,
   });
-  return {upstream, addedWork, presentWork};
+  return {upstream, addedWork, presentWork: workAhead};
 }
 
 /** Chooses among a few random upstreams; meant for nodes without sums of the load. */
@@ -124,7 +125,7 @@
   comparison: Comparison,
 ): Selection | undefined {
   const sound = usable.filter(state => isSound(node, state));
-  if (knowsOthers(node) && node.settings.balancing.oldLoad === 'level')
+  if (choosesByLevel(node))
     return chooseByLevel(node, exchange, model, sound, comparison);
   if (usable.length <= MIN_SAMPLED_COUNT) return undefined;
   return chooseFromSample(node, exchange, model, sound, comparison);
@@ -163,6 +164,7 @@
     ),
   );
   const comparison = createComparison(node, exchange, model, usable);
+  // Only the load that groups exchange is old enough to mislead.
   const selection = hasGroups(node.members.size)
     ? chooseByOldLoad(node, exchange, model, usable, comparison)
     : undefined;
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -2,6 +2,7 @@
 import {
   findPauseMs,
   findRetryPauseMs,
+  findWorkAhead,
 } from '@parsleyarch/router/entry/exclusions';
 import type {Exchange} from '@parsleyarch/router/entry/exchange';
 import {
@@ -178,3 +179,14 @@
   t.is(lines[1].reason, undefined);
   t.true(Number(lines[1].candidates) <= 5);
 });
+
+test('the work ahead of a request is that of the mean upstream by old load, of the least by young', async t => {
+  const {node} = await createNode(t, 4);
+  bringSums(node, {'i-0': 0, 'i-1': 4, 'i-2': 4, 'i-3': 8});
+  const ahead = findWorkAhead(node, createExchange());
+  t.true(ahead > 1 && ahead < 4);
+  const selection = selectUpstream(node, createExchange())!;
+  t.true(selection.presentWork > 1 && selection.presentWork < 6);
+  node.members.clear();
+  t.is(findWorkAhead(node, createExchange()), 0);
+});
--- a/packages/policy/src/stale-load.ts
+++ b/packages/policy/src/stale-load.ts
@@ -73,6 +73,8 @@
   readonly upstream: U;
   readonly work: RequestWork;
   readonly cost: number;
+  /** Work that the request is expected to find there, in work units. */
+  readonly workAhead: number;
   readonly reason: ChoiceReason;
   /** Level to which the upstreams of the own failure domain are filled. */
   readonly level: number;
@@ -112,25 +114,37 @@
   };
 }
 
+/** Work that a request is expected to find at an upstream. */
+function expectWorkAhead(upstream: QueuedUpstream, side: Side): number {
+  const {queuedWork, presentWork, idleSinceMs} = upstream;
+  const streamingWork = presentWork - queuedWork;
+  const expectedQueue = REMAINING_QUEUE_RATIO * side.meanQueue;
+  if (idleSinceMs !== undefined)
+    return streamingWork + expectedQueue * (idleSinceMs / IDLE_MS);
+  return streamingWork + expectedQueue + Math.max(0, presentWork - side.level);
+}
+
 /** Cost of a request at an upstream, in work units. */
 function costOf(
-  upstream: QueuedUpstream,
+  {sameDomain, speed}: QueuedUpstream,
+  workAhead: number,
   {addedWork, failures}: RequestWork,
-  side: Side,
   penalties: CostPenalties,
 ): number {
-  const {queuedWork, presentWork, idleSinceMs, speed} = upstream;
-  const streamingWork = presentWork - queuedWork;
-  const expectedQueue = REMAINING_QUEUE_RATIO * side.meanQueue;
-  const wait =
-    idleSinceMs === undefined
-      ? expectedQueue + Math.max(0, presentWork - side.level)
-      : expectedQueue * (idleSinceMs / IDLE_MS);
-  const domainPenalty = upstream.sameDomain ? 0 : penalties.otherDomain;
+  const domainPenalty = sameDomain ? 0 : penalties.otherDomain;
   const failurePenalty = failures * penalties.failure;
-  return (
-    wait + streamingWork + addedWork / speed + domainPenalty + failurePenalty
-  );
+  return workAhead + addedWork / speed + domainPenalty + failurePenalty;
+}
+
+/** Work that a request is expected to find where it is sent, by the loads of upstreams. */
+export function expectMeanWorkAhead(
+  loads: readonly {readonly queued: number; readonly all: number}[],
+): number {
+  if (loads.length === 0) return 0;
+  let work = 0;
+  for (const {queued, all} of loads)
+    work += all - queued + REMAINING_QUEUE_RATIO * queued;
+  return work / loads.length;
 }
 
 /** Whether the requests with the same shared part fit where it is cached. */
@@ -193,9 +207,10 @@
   let best: LevelChoice<U> | undefined;
   const compare = (upstream: U, work: RequestWork, reason: ChoiceReason) => {
     const side = upstream.sameDomain ? own : other;
-    const cost = costOf(upstream, work, side, penalties);
+    const workAhead = expectWorkAhead(upstream, side);
+    const cost = costOf(upstream, workAhead, work, penalties);
     if (!best || cost < best.cost)
-      best = {upstream, work, cost, reason, level: side.level};
+      best = {upstream, work, workAhead, cost, reason, level: side.level};
   };
   const drawn = drawByLevel(upstreams, own, other, penalties, position);
   if (drawn) compare(drawn, workAt(drawn), ChoiceReason.level);
