Let a second draw count if the queue of the first lags behind

Cause: with much expected work the level gives an upstream nearly its full share although it is slower than it says, until its queue is as long as the level.

Change: a second, random draw is used if its queue is shorter by more than a mean queue.

--- a/packages/policy/src/stale-load.ts
+++ b/packages/policy/src/stale-load.ts
@@ -166,14 +166,15 @@
 
 /**
  * Draws an upstream. The own failure domain is filled first, and another one as far as
- * its level with the penalty for the distance is lower.
+ * its level with the penalty for the distance is lower. A second draw counts if its queue
+ * is clearly shorter: an upstream may be slower than it says, and then lags behind.
  */
 function drawByLevel<U extends QueuedUpstream>(
   upstreams: readonly U[],
   own: Side,
   other: Side,
   penalties: CostPenalties,
-  position: number,
+  {position, random}: Draw,
 ): U | undefined {
   const hasOwn = upstreams.some(({sameDomain}) => sameDomain);
   const queues = upstreams.map(({presentWork, speed, sameDomain}) => {
@@ -181,9 +182,15 @@
     const delay = Math.max(presentWork, other.level) + penalties.otherDomain;
     return {delay, speed};
   });
-  const level = computeLevel(queues, hasOwn ? own.work : other.work);
-  const index = pickQueue(queues, level, position);
-  return index === undefined ? undefined : upstreams[index];
+  const side = hasOwn ? own : other;
+  const level = computeLevel(queues, side.work);
+  const first = pickQueue(queues, level, position);
+  const second = pickQueue(queues, level, (position + random) % 1);
+  if (first === undefined || second === undefined) return undefined;
+  const delayAt = ({presentWork, sameDomain}: U) =>
+    presentWork + (sameDomain ? 0 : penalties.otherDomain);
+  const lag = delayAt(upstreams[first]) - delayAt(upstreams[second]);
+  return upstreams[lag > side.meanQueue ? second : first];
 }
 
 /** Returns the cheapest of the compared upstreams; `undefined` when all are `coldFull`. */
@@ -193,7 +200,7 @@
   workAt: (upstream: U) => RequestWork,
   penalties: CostPenalties,
   expectation: Expectation,
-  {position, random}: Draw,
+  draw: Draw,
 ): LevelChoice<U> | undefined {
   const upstreams = all.filter(({coldFull}) => !coldFull);
   const own = describeSide(
@@ -212,12 +219,12 @@
     if (!best || cost < best.cost)
       best = {upstream, work, workAhead, cost, reason, level: side.level};
   };
-  const drawn = drawByLevel(upstreams, own, other, penalties, position);
+  const drawn = drawByLevel(upstreams, own, other, penalties, draw);
   if (drawn) compare(drawn, workAt(drawn), ChoiceReason.level);
   const cached = upstreams.filter(({isExpectedCached}) => isExpectedCached);
   const works = cached.map(workAt);
   const meanQueue = Math.max(own.meanQueue, other.meanQueue);
-  if (hasRoomForPrompt(works, expectation, meanQueue, random)) {
+  if (hasRoomForPrompt(works, expectation, meanQueue, draw.random)) {
     for (const [index, upstream] of cached.entries())
       compare(upstream, works[index], ChoiceReason.cached);
   }
