Load only what an entry node runs at its start

Cause: an entry node loaded the whole command line, the other interface's schemas and gRPC before it listened. A named import of zod's namespace also kept all of its locales and conversions in the bundle. Settings files are read by `settings-file.ts`, so that an entry node has its own schema only. zod is imported as a namespace, which the bundler can reduce.

--- a/apps/router/src/context.ts
+++ b/apps/router/src/context.ts
@@ -6,7 +6,7 @@
 import type {CustomerSpec, Resource} from '@parsleyarch/resource/schema';
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {recordDecision} from './decisions.js';
 import {
   assessNodeFreshness,
--- a/apps/router/src/entry/culprit-records.ts
+++ b/apps/router/src/entry/culprit-records.ts
@@ -10,7 +10,7 @@
 import {hashName, rankMember} from '@parsleyarch/policy/rendezvous';
 import {commitTransaction, type StoredItem} from '@parsleyarch/store/keyspace';
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {clearSuspectsOf, type CulpritRecord} from './crashes.js';
 import type {EntryNode} from './node.js';
 import {isRestoring} from './restoration.js';
--- a/apps/router/src/entry/delegation.ts
+++ b/apps/router/src/entry/delegation.ts
@@ -15,7 +15,7 @@
   writeDelegatedHeaders,
   type UpstreamAnswer,
 } from '@parsleyarch/platform/headers';
-import {isSameKey, PEER_KEY_FIELD} from '@parsleyarch/peer/server';
+import {isSameKey, PEER_KEY_FIELD} from '@parsleyarch/peer/key';
 import {
   findRunDenial,
   permitRemainingRuns,
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -17,7 +17,7 @@
   type StoredItem,
 } from '@parsleyarch/store/keyspace';
 import {randomBytes} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   applyCulprit,
   CULPRITS_PREFIX,
@@ -179,19 +179,22 @@
   else if (isHolderKey(item.key))
     applyHolderChange(node, item.value, item.revision);
   else if (item.key === PEER_KEY && item.value)
-    applyPeerKey(node, item.value.toString('utf8'));
+    void applyPeerKey(node, item.value.toString('utf8'));
 }
 
-function applyPeerKey(node: EntryNode, key: string): void {
+async function applyPeerKey(node: EntryNode, key: string): Promise<void> {
   const {peers} = node;
   if (peers.key === key) return;
   const isFirst = peers.key === undefined;
-  if (peers.client) closePeerClient(peers.client);
   peers.key = key;
-  peers.client = createPeerClient(key);
-  if (isFirst) return node.onPeerKey();
   // Only possible after a restoration, when a new node wrote another key first.
-  node.log.warn('the key that the nodes share has changed');
+  if (!isFirst) node.log.warn('the key that the nodes share has changed');
+  const client = await createPeerClient(key);
+  if (node.manager.isStopping || peers.key !== key)
+    return closePeerClient(client);
+  if (peers.client) closePeerClient(peers.client);
+  peers.client = client;
+  if (isFirst) node.onPeerKey();
 }
 
 /** Applies the keys that the router itself writes. */
--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -1,8 +1,8 @@
 /** Settings of an entry node: JSON with comments. */
 import type {Failure} from '@parsleyarch/errors/failure';
 import type {Result} from 'neverthrow';
-import {z} from 'zod';
-import {readSettings} from '../settings.js';
+import * as z from 'zod';
+import {readSettings} from '../settings-file.js';
 
 const Address = z
   .string()
--- a/apps/router/src/gossip.ts
+++ b/apps/router/src/gossip.ts
@@ -10,7 +10,7 @@
 import {readBody, sendRequest} from '@parsleyarch/upstream/exchange';
 import * as http from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {fetchEntriesFromPeer} from './config.js';
 import type {RouterNode} from './node.js';
 
--- a/apps/router/src/learning.ts
+++ b/apps/router/src/learning.ts
@@ -26,7 +26,7 @@
 import {findResource, listResources} from '@parsleyarch/resource/configuration';
 import {readBody, sendRequest} from '@parsleyarch/upstream/exchange';
 import * as http from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {shareEvidence} from './crashes.js';
 import {recordDecision} from './decisions.js';
 import type {RouterNode} from './node.js';
--- a/apps/router/src/node.ts
+++ b/apps/router/src/node.ts
@@ -203,7 +203,7 @@
 }
 
 /** Creates the state of a node; starts nothing. */
-export function createNode(settings: Settings): RouterNode {
+export async function createNode(settings: Settings): Promise<RouterNode> {
   const log = createLog(settings.logLevel, settings.node);
   const clock = () => performance.now();
   const {readsPerSecond, writesPerSecond} = settings.store;
@@ -224,7 +224,7 @@
         : log.debug({part}, 'stopped'),
     ),
     store: openStore(settings.store.address, budget, settings.store.timeoutMs),
-    peers: createPeerClient(settings.peerKey),
+    peers: await createPeerClient(settings.peerKey),
     engines: createEngineClient(settings.node, settings.upstreamIdleMs),
     services: createServiceClient(settings.node, settings.upstreamIdleMs),
     clock,
--- a/apps/router/src/operators.ts
+++ b/apps/router/src/operators.ts
@@ -8,7 +8,7 @@
 import {randomUUID} from 'node:crypto';
 import * as http from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {appendProposal, listEntriesAfter} from './config.js';
 import {findDecisionLines} from './decisions.js';
 import {
--- a/apps/router/src/request.ts
+++ b/apps/router/src/request.ts
@@ -1,7 +1,7 @@
 /** Parsing of chat request bodies. */
 import {raise, type Failure} from '@parsleyarch/errors/failure';
 import {ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_TOKENS = 4_096;
 const DEFAULT_MAX_TOKENS = 256;
--- a/apps/router/src/serve.ts
+++ b/apps/router/src/serve.ts
@@ -172,7 +172,7 @@
 }
 
 export async function startNode(settings: Settings): Promise<RunningNode> {
-  const node = createNode(settings);
+  const node = await createNode(settings);
   const {manager} = node;
   registerResource(manager, 'store', () => closeStore(node.store));
   registerResource(manager, 'peer-client', () => closePeerClient(node.peers));
--- a/apps/router/src/sessions.ts
+++ b/apps/router/src/sessions.ts
@@ -3,7 +3,7 @@
 import type {PinAsk, PinEntry} from '@parsleyarch/peer/messages';
 import {rankCandidates} from '@parsleyarch/protocol/rendezvous';
 import {createHmac, randomUUID, timingSafeEqual} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {listLiveNodeNames, findPeerAddress, type RouterNode} from './node.js';
 
 const PIN_TIMEOUT_MS = 250;
--- a/apps/router/test/peers.test.ts
+++ b/apps/router/test/peers.test.ts
@@ -31,14 +31,14 @@
 const address = () => scenario.cluster.vmList.vms.get('vm-1')!.address;
 
 test.serial('a call without the shared key is rejected', async t => {
-  const stranger = createPeerClient('some other key of a stranger');
+  const stranger = await createPeerClient('some other key of a stranger');
   const answer = await callPeer(stranger, address(), 'beats', {}, TIMEOUT_MS);
   t.regex(answer._unsafeUnwrapErr().message, /wrong peer key/);
   closePeerClient(stranger);
 });
 
 test.serial('a node survives arbitrary values in peer calls', async t => {
-  const peers = createPeerClient('peer-key-of-the-stand-ins');
+  const peers = await createPeerClient('peer-key-of-the-stand-ins');
   const text = fc.oneof(fc.string(), fc.json());
   const ask = fc.record({
     upstream: fc.constantFrom('engine-1', 'engine-2', 'nobody'),
--- a/apps/router/test/silent-peers.test.ts
+++ b/apps/router/test/silent-peers.test.ts
@@ -24,7 +24,7 @@
     consult: () => ({kept: []}),
   });
   const proxy = await startProxy(port);
-  const client = createPeerClient(KEY);
+  const client = await createPeerClient(KEY);
   t.teardown(async () => {
     closePeerClient(client);
     closePeerServer(server);
--- a/packages/peer/src/client.ts
+++ b/packages/peer/src/client.ts
@@ -1,16 +1,13 @@
-/** Calls to peers, each with a deadline. A failed call resolves to an `Err`. */
-import {
-  credentials,
-  makeGenericClientConstructor,
-  Metadata,
-  type Client,
-  type ServiceError,
-} from '@grpc/grpc-js';
+/**
+ * Calls to peers, each with a deadline. A failed call resolves to an `Err`. The gRPC
+ * library is loaded with the first client, as a node answers callers before that.
+ */
+import type {Client, Metadata, ServiceError} from '@grpc/grpc-js';
 import {failure, type Failure} from '@parsleyarch/errors/failure';
 import {err, ok, type Result} from 'neverthrow';
 import type {PeerCall, PeerCalls} from './messages.js';
-import {PEER_KEY_FIELD} from './server.js';
-import {MESSAGE_OPTIONS, PEER_SERVICE} from './service.js';
+import {PEER_KEY_FIELD} from './key.js';
+import {MESSAGE_OPTIONS} from './options.js';
 
 type Method = (
   request: unknown,
@@ -23,10 +20,10 @@
 export interface PeerClient {
   readonly metadata: Metadata;
   readonly clients: Map<string, Client>;
+  /** Creates a connection, which opens with its first call. */
+  readonly connect: (address: string) => Client;
 }
 
-const PeerConnection = makeGenericClientConstructor(PEER_SERVICE, 'Peer');
-
 /** Upper bound of the reconnection backoff, milliseconds. */
 const MAX_RECONNECT_MS = 1_000;
 /**
@@ -36,23 +33,35 @@
 const KEEPALIVE_INTERVAL_MS = 1_000;
 const KEEPALIVE_TIMEOUT_MS = 1_300;
 
+const CONNECTION_OPTIONS = {
+  ...MESSAGE_OPTIONS,
+  'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.keepalive_time_ms': KEEPALIVE_INTERVAL_MS,
+  'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+};
+
 /** Creates a client; connections open with the first call to an address. */
-export function createPeerClient(key: string): PeerClient {
+export async function createPeerClient(key: string): Promise<PeerClient> {
+  const {credentials, makeGenericClientConstructor, Metadata} =
+    await import('@grpc/grpc-js');
+  const {PEER_SERVICE} = await import('./service.js');
+  const PeerConnection = makeGenericClientConstructor(PEER_SERVICE, 'Peer');
   const metadata = new Metadata();
   metadata.set(PEER_KEY_FIELD, key);
-  return {metadata, clients: new Map()};
+  const connect = (address: string) =>
+    new PeerConnection(
+      address,
+      credentials.createInsecure(),
+      CONNECTION_OPTIONS,
+    );
+  return {metadata, clients: new Map(), connect};
 }
 
 function getConnection(peers: PeerClient, address: string): Client {
   const existing = peers.clients.get(address);
   if (existing) return existing;
-  const opened = new PeerConnection(address, credentials.createInsecure(), {
-    ...MESSAGE_OPTIONS,
-    'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
-    'grpc.initial_reconnect_backoff_ms': 100,
-    'grpc.keepalive_time_ms': KEEPALIVE_INTERVAL_MS,
-    'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
-  });
+  const opened = peers.connect(address);
   peers.clients.set(address, opened);
   return opened;
 }
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -1,16 +1,14 @@
 /** gRPC server for calls from peers. */
 import {messageOf} from '@parsleyarch/errors/failure';
-import {timingSafeEqual} from 'node:crypto';
-import {
+import type {
+  Metadata,
+  sendUnaryData,
   Server,
-  ServerCredentials,
-  status,
-  type Metadata,
-  type sendUnaryData,
-  type ServerUnaryCall,
+  ServerUnaryCall,
 } from '@grpc/grpc-js';
+import {isSameKey, PEER_KEY_FIELD} from './key.js';
 import type {PeerCall, PeerCalls} from './messages.js';
-import {MESSAGE_OPTIONS, PEER_SERVICE} from './service.js';
+import {MESSAGE_OPTIONS} from './options.js';
 
 /** Handlers of the peer calls, by call name. */
 export type PeerHandlers = {
@@ -19,22 +17,14 @@
   ) => PeerCalls[C][1] | Promise<PeerCalls[C][1]>;
 };
 
-/** Metadata field with the key that all nodes share. */
-export const PEER_KEY_FIELD = 'x-peer-key';
-
-/** Compares keys in a time that does not depend on where they differ. */
-export function isSameKey(received: string, expected: string): boolean {
-  const receivedBytes = Buffer.from(received);
-  const expectedBytes = Buffer.from(expected);
-  if (receivedBytes.length !== expectedBytes.length) return false;
-  return timingSafeEqual(receivedBytes, expectedBytes);
-}
-
 function hasKey(metadata: Metadata, key: string): boolean {
   return isSameKey(String(metadata.get(PEER_KEY_FIELD)[0] ?? ''), key);
 }
 
+type Grpc = typeof import('@grpc/grpc-js');
+
 function createUnaryHandler<C extends PeerCall>(
+  {status}: Grpc,
   currentKey: () => string,
   handle: PeerHandlers[C],
 ) {
@@ -63,19 +53,22 @@
   currentKey: () => string,
   handlers: Partial<PeerHandlers>,
 ): Promise<Server> {
-  const server = new Server(MESSAGE_OPTIONS);
+  const grpc = await import('@grpc/grpc-js');
+  const {PEER_SERVICE} = await import('./service.js');
+  const server = new grpc.Server(MESSAGE_OPTIONS);
   const methods = Object.keys(handlers) as PeerCall[];
   server.addService(
     PEER_SERVICE,
     Object.fromEntries(
       methods.map(method => [
         method,
-        createUnaryHandler(currentKey, handlers[method]!),
+        createUnaryHandler(grpc, currentKey, handlers[method]!),
       ]),
     ),
   );
   await new Promise<void>((resolve, reject) => {
-    server.bindAsync(address, ServerCredentials.createInsecure(), error =>
+    const credentials = grpc.ServerCredentials.createInsecure();
+    server.bindAsync(address, credentials, error =>
       error ? reject(error) : resolve(),
     );
   });
--- a/packages/resource/src/schema.ts
+++ b/packages/resource/src/schema.ts
@@ -1,5 +1,5 @@
 /** Schemas of the resources that operators declare. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/);
 const ratio = z.number().min(0).max(1);
--- a/packages/store/src/client.ts
+++ b/packages/store/src/client.ts
@@ -6,7 +6,7 @@
 import {failure, messageOf, type Failure} from '@parsleyarch/errors/failure';
 import * as http from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {tryAcquire, type Budget} from './budget.js';
 import {sendCall} from './http.js';
 
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -10,7 +10,7 @@
 } from '@parsleyarch/errors/failure';
 import * as http from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {readBody, sendRequest} from './exchange.js';
 import {readFrames, type Frame} from './frames.js';
 
