Serve callers before the first registration and before peers

Cause: a node opened its listeners one after the other before it called the store, and refused each request that came before the answer; callers retry once. It looked for the key of the nodes before the first read, so that each start waited 0 to 1.5 s until it registered. gRPC was loaded between the first configuration and the requests that waited for it. Change: the store is called while the listeners open, and requests wait for its first answer for 0.3 s at most, unless a call fails. Registration follows the first read, without the random delay if the key is known. gRPC is loaded 50 ms after the read.

--- a/apps/router/src/entry/ingress.ts
+++ b/apps/router/src/entry/ingress.ts
@@ -9,6 +9,7 @@
 import {dispatch} from './dispatch.js';
 import {createExchange, readRequestBody, type Exchange} from './exchange.js';
 import {confirmationAge, isReady} from './freshness.js';
+import {awaitFirstConfiguration} from './first-configuration.js';
 import type {EntryNode} from './node.js';
 import {
   createStoppingFailure,
@@ -85,6 +86,8 @@
     await readRequestBody(node, request);
     return writeFailure(node, response, createStoppingFailure());
   }
+  if (!node.routes) await awaitFirstConfiguration(node);
+  if (response.destroyed) return;
   const created = createExchange(node, request, response, delegation);
   if (created.isErr()) {
     const {kind, message} = created.error;
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -35,6 +35,8 @@
 const PEER_KEY_BYTES = 24;
 /** Maximum random delay before a node writes the shared key, milliseconds. */
 const MAX_KEY_JITTER_MS = 1_500;
+/** Time in which requests are served before the library for peers is loaded. */
+const PEER_LOADING_DELAY_MS = 50;
 const MEMBERS_PREFIX = `${STORE_KEY.router}nodes/`;
 const PEER_KEY = `${STORE_KEY.router}peer-key`;
 
@@ -124,12 +126,19 @@
   await register(node, registration);
 }
 
-/** Keeps the node registered until it stops. */
-export function keepRegistered(node: EntryNode): void {
+/** Keeps the node registered from the first full read until it stops. */
+export function keepRegistered(
+  node: EntryNode,
+  firstRead: Promise<void>,
+): void {
   const registration: Registration = {registered: false, era: 0};
   const running = repeat(
     RENEW_INTERVAL_MS,
-    () => renewRegistration(node, registration),
+    async () => {
+      // Before it, the key that the nodes share would seem to be missing.
+      await firstRead;
+      await renewRegistration(node, registration);
+    },
     error => node.log.error({error: String(error)}, 'registration failed'),
   );
   registerResource(node.manager, 'registration', async () => {
@@ -189,6 +198,8 @@
   peers.key = key;
   // Only possible after a restoration, when a new node wrote another key first.
   if (!isFirst) node.log.warn('the key that the nodes share has changed');
+  // The library takes longer to load than requests that wait take to be sent.
+  if (isFirst) await wait(PEER_LOADING_DELAY_MS);
   const client = await createPeerClient(key);
   if (node.manager.isStopping || peers.key !== key)
     return closePeerClient(client);
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -105,39 +105,46 @@
   }
 }
 
-async function start(node: EntryNode): Promise<void> {
-  const {manager, settings} = node;
-  node.log.info({incarnation: node.incarnation}, 'starting');
-  registerResource(manager, 'store', () => closeKeyspace(node.keyspace));
-  measureLag(node);
+/** Opens the listeners that need no configuration; requests wait for the first one. */
+async function openListeners(node: EntryNode): Promise<Server[]> {
+  const {settings} = node;
+  const ingress = createCallerListener(node);
+  const delegation = createDelegationListener(node);
   const readiness = createReadinessListener(node);
-  registerListener(node, 'readiness-listener', readiness);
-  await listen(readiness, settings.readiness);
   const metrics = createMetricsListener(node);
+  registerListener(node, 'readiness-listener', readiness);
   registerListener(node, 'metrics-listener', metrics);
-  await listen(metrics, settings.metrics);
-  const ingress = createCallerListener(node);
   node.onConfiguration = table => applyCallerLimits(ingress, table);
-  // Connections are accepted at once; requests get 503 before a configuration.
-  await listen(ingress, settings.callers);
-  const delegation = createDelegationListener(node);
-  await listen(delegation, settings.delegation);
+  await Promise.all([
+    listen(ingress, settings.callers),
+    listen(delegation, settings.delegation),
+    listen(readiness, settings.readiness),
+    listen(metrics, settings.metrics),
+  ]);
+  return [ingress, delegation];
+}
+
+async function start(node: EntryNode): Promise<void> {
+  const {manager} = node;
+  node.log.info({incarnation: node.incarnation}, 'starting');
+  registerResource(manager, 'store', () => closeKeyspace(node.keyspace));
+  measureLag(node);
   node.onPeerKey = () => void servePeers(node);
   node.feed.subscribers.push(
     routerSubscriber(node),
     operatorSubscriber(node),
     upstreamSubscriber(node),
   );
+  // The store answers while the listeners open.
   const firstRead = followStore(node);
-  keepRegistered(node);
+  const listeners = await openListeners(node);
+  keepRegistered(node, firstRead);
   runRollouts(node);
   shareLoads(node);
   probeWhileCutOff(node);
   keepCulpritsRecorded(node);
   // Registered last, hence stopped first: requests end before anything else.
-  registerResource(manager, 'callers', () =>
-    drain(node, [ingress, delegation]),
-  );
+  registerResource(manager, 'callers', () => drain(node, listeners));
   await firstRead;
   node.serving = true;
   node.log.info(
--- a/apps/standins/src/keyspace.ts
+++ b/apps/standins/src/keyspace.ts
@@ -33,6 +33,8 @@
   readonly calls: Map<string, number>;
   revision: number;
   behavior: StoreBehavior;
+  /** Delay of every call, milliseconds. */
+  delayMs: number;
   /** Watches that start before this revision get 410. */
   compactedRevision: number;
   /** Number of restorations; stated in every answer. */
@@ -208,7 +210,9 @@
     send(response, 200, {});
   };
 
-  const server = await startServer(0, (request, response, url) => {
+  const server = await startServer(0, async (request, response, url) => {
+    if (store.delayMs > 0)
+      await new Promise(resolve => setTimeout(resolve, store.delayMs));
     const name = url.pathname.split('/')[2];
     store.calls.set(name, (store.calls.get(name) ?? 0) + 1);
     if (store.behavior === StoreBehavior.unresponsive) return;
@@ -231,6 +235,7 @@
     calls: new Map(),
     revision: 1,
     behavior: StoreBehavior.normal,
+    delayMs: 0,
     compactedRevision: 0,
     era: 0,
     copy: () => ({
