--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -17,7 +17,7 @@
   type StoredItem,
 } from '@parsleyarch/store/keyspace';
 import {randomBytes} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   applyCulprit,
   CULPRITS_PREFIX,
@@ -35,6 +35,8 @@
 const PEER_KEY_BYTES = 24;
 /** Maximum random delay before a node writes the shared key, milliseconds. */
 const MAX_KEY_JITTER_MS = 1_500;
+/** Time in which requests are served before the library for peers is loaded. */
+const PEER_LOADING_DELAY_MS = 50;
 const MEMBERS_PREFIX = `${STORE_KEY.router}nodes/`;
 const PEER_KEY = `${STORE_KEY.router}peer-key`;
 
@@ -124,12 +126,19 @@
   await register(node, registration);
 }
 
-/** Keeps the node registered until it stops. */
-export function keepRegistered(node: EntryNode): void {
+/** Keeps the node registered from the first full read until it stops. */
+export function keepRegistered(
+  node: EntryNode,
+  firstRead: Promise<void>,
+): void {
   const registration: Registration = {registered: false, era: 0};
   const running = repeat(
     RENEW_INTERVAL_MS,
-    () => renewRegistration(node, registration),
+    async () => {
+      // Before it, the key that the nodes share would seem to be missing.
+      await firstRead;
+      await renewRegistration(node, registration);
+    },
     error => node.log.error({error: String(error)}, 'registration failed'),
   );
   registerResource(node.manager, 'registration', async () => {
@@ -179,19 +188,24 @@
   else if (isHolderKey(item.key))
     applyHolderChange(node, item.value, item.revision);
   else if (item.key === PEER_KEY && item.value)
-    applyPeerKey(node, item.value.toString('utf8'));
+    void applyPeerKey(node, item.value.toString('utf8'));
 }
 
-function applyPeerKey(node: EntryNode, key: string): void {
+async function applyPeerKey(node: EntryNode, key: string): Promise<void> {
   const {peers} = node;
   if (peers.key === key) return;
   const isFirst = peers.key === undefined;
-  if (peers.client) closePeerClient(peers.client);
   peers.key = key;
-  peers.client = createPeerClient(key);
-  if (isFirst) return node.onPeerKey();
   // Only possible after a restoration, when a new node wrote another key first.
-  node.log.warn('the key that the nodes share has changed');
+  if (!isFirst) node.log.warn('the key that the nodes share has changed');
+  // The library takes longer to load than requests that wait take to be sent.
+  if (isFirst) await wait(PEER_LOADING_DELAY_MS);
+  const client = await createPeerClient(key);
+  if (node.manager.isStopping || peers.key !== key)
+    return closePeerClient(client);
+  if (peers.client) closePeerClient(peers.client);
+  peers.client = client;
+  if (isFirst) node.onPeerKey();
 }
 
 /** Applies the keys that the router itself writes. */
--- a/packages/peer/src/service.ts
+++ b/packages/peer/src/service.ts
@@ -1,30 +1,52 @@
 /** The gRPC service definition, built from the generated descriptor.json. */
-import type {ServiceDefinition} from '@grpc/grpc-js';
-import {fromJSON} from '@grpc/proto-loader';
+import type {MethodDefinition, ServiceDefinition} from '@grpc/grpc-js';
+import protobuf from 'protobufjs/light.js';
 import descriptor from './descriptor.json' with {type: 'json'};
 
-const definition = fromJSON(
-  descriptor as unknown as Parameters<typeof fromJSON>[0],
-  {
-    defaults: true,
-    arrays: true,
-    longs: Number,
-  },
-);
+const SERVICE = 'parsleyarch.Peer';
 
-/**
- * Maximum size of a message; a node that is far behind gets all items of the store in
- * one, each with a value of up to 1 MB.
- */
-const MAX_MESSAGE_BYTES = 16 << 20;
+/** How fields that a message leaves out are read. */
+const CONVERSION: protobuf.IConversionOptions = {
+  defaults: true,
+  arrays: true,
+  longs: Number,
+};
 
-/** Options of every connection and server. */
-export const MESSAGE_OPTIONS = {
-  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
-  'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
-} as const;
+const serializer = (type: protobuf.Type) => (value: object) =>
+  Buffer.from(type.encode(type.fromObject(value)).finish());
+
+const deserializer = (type: protobuf.Type) => (bytes: Buffer) =>
+  type.toObject(type.decode(bytes), CONVERSION);
+
+function toMethodDefinition({
+  name,
+  resolvedRequestType,
+  resolvedResponseType,
+}: protobuf.Method): MethodDefinition<object, object> {
+  const request = resolvedRequestType!;
+  const response = resolvedResponseType!;
+  return {
+    path: `/${SERVICE}/${name}`,
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: serializer(request),
+    requestDeserialize: deserializer(request),
+    responseSerialize: serializer(response),
+    responseDeserialize: deserializer(response),
+    originalName: name[0].toLowerCase() + name.slice(1),
+  };
+}
+
+function createServiceDefinition(): ServiceDefinition {
+  const root = protobuf.Root.fromJSON(descriptor as protobuf.INamespace);
+  const service = root.lookupService(SERVICE);
+  return Object.fromEntries(
+    service.methodsArray.map(method => {
+      method.resolve();
+      return [method.name, toMethodDefinition(method)];
+    }),
+  );
+}
 
 /** Methods of the peer service, by name in peer.proto. */
-export const PEER_SERVICE = definition[
-  'parsleyarch.Peer'
-] as unknown as ServiceDefinition;
+export const PEER_SERVICE = createServiceDefinition();
