--- a/tools/bite.mjs
+++ b/tools/bite.mjs
@@ -23,6 +23,7 @@
   'tools',
   'examples',
   'package.json',
+  'ava.config.js',
   'tsconfig.json',
 ];
 const AVA = 'node_modules/ava/entrypoints/cli.mjs';
