Bound what clients can take of an entry node

Cause: a node kept the chunks of unfinished bodies without a bound over all requests, served any number of connections and of requests that are sent one after the other on a connection, and kept whole answers that nobody read.

Change: one account of the bytes held for callers and upstreams, bounded by the memory of the machine. Bodies are joined as they arrive; a length over the limit is refused before it is read; bodies that make no progress, and answers that are not read, give up their memory to others. Refusals are written before the rest of a body is discarded, within bounds, so that they arrive. Connections and requests in service are bounded by the descriptors of the machine. A stream may be ahead of its caller by 256 KB before its upstream waits, for two seconds at most. The limits of the configuration hold on the listener for delegated requests as well. Answers queued behind others on a connection that closes are no longer counted as active for ever.

--- a/apps/router/src/entry/delegation.ts
+++ b/apps/router/src/entry/delegation.ts
@@ -28,7 +28,9 @@
 import {isStream, type Exchange} from './exchange.js';
 import type {EntryNode, Member} from './node.js';
 import {isCutOff} from './reachability.js';
-import {FAILURE_FIELD, readAnswerBody, writeBytes, writeHead} from './relay.js';
+import {readAnswerBody} from './answer-body.js';
+import {createStreamWriter, endStream} from './answer-writer.js';
+import {FAILURE_FIELD, writeHead} from './relay.js';
 import {endWithAnswer, endWithFailure, recordAnswer} from './reply.js';
 
 /** Field with the number of upstreams that the delegate may try. */
@@ -202,9 +204,12 @@
   const {response} = exchange;
   writeHead(node, response, answer);
   response.flushHeaders();
+  const writer = createStreamWriter(node, response);
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>)
-      await writeBytes(response, chunk);
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      writer.write(chunk);
+      await writer.waitForReader();
+    }
   } catch {
     // The check below covers a body that has ended early.
   }
@@ -216,7 +221,7 @@
       failure('upstream-lost', 'the stream of the delegate broke'),
     );
   exchange.ended = true;
-  response.end();
+  endStream(node, response);
   recordAnswer(node, exchange, answer.status, 'delegate, stream complete');
 }
 
@@ -230,7 +235,7 @@
     await relayBody(node, exchange, answer, message);
     return undefined;
   }
-  const body = await readAnswerBody({message, broken: false});
+  const body = await readAnswerBody(node, {message, broken: false});
   if (!body) return 'answer of the delegate ended early or was too large';
   endWithAnswer(node, exchange, {answer, body});
   return undefined;
--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -25,7 +25,7 @@
 } from './crashes.js';
 import {claimTrial, findRefusalMs} from './culprits.js';
 import {isCutOff} from './reachability.js';
-import {readAnswerBody} from './relay.js';
+import {readAnswerBody} from './answer-body.js';
 import {
   createStoppingFailure,
   endWithAnswer,
@@ -102,7 +102,7 @@
   answer: UpstreamAnswer,
   incoming: AnswerBody,
 ): Promise<Step> {
-  const body = await readAnswerBody(incoming);
+  const body = await readAnswerBody(node, incoming);
   if (!body || (await mayBeCutOff(node, incoming))) {
     await recordBrokenAnswer(node, exchange, incoming.send);
     progress.reason = 'answer ended early or was too large';
--- a/apps/router/src/entry/exchange.ts
+++ b/apps/router/src/entry/exchange.ts
@@ -206,29 +206,3 @@
     ended: false,
   });
 }
-
-/** Reads the request body up to the size limit; `undefined` if the caller disconnects. */
-export async function readRequestBody(
-  node: EntryNode,
-  request: IncomingMessage,
-): Promise<Result<Buffer | undefined, Failure>> {
-  const maxBytes = node.routes?.table.limits.bodyBytes ?? 0;
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > maxBytes)
-        return err(
-          failure(
-            'body-too-large',
-            `request body exceeds the limit of ${maxBytes} bytes`,
-          ),
-        );
-      chunks.push(chunk);
-    }
-  } catch {
-    return ok(undefined);
-  }
-  return ok(request.complete ? Buffer.concat(chunks) : undefined);
-}
--- a/apps/router/src/entry/ingress.ts
+++ b/apps/router/src/entry/ingress.ts
@@ -1,5 +1,5 @@
 /** Listeners for callers, for readiness probes and for metrics. */
-import {failure} from '@parsleyarch/errors/failure';
+import {failure, type Failure} from '@parsleyarch/errors/failure';
 import {READINESS_PATH} from '@parsleyarch/platform/names';
 import {isRefusing} from '@parsleyarch/policy/stopping';
 import type {RoutingTable} from '@parsleyarch/resource/routing';
@@ -7,7 +7,9 @@
 import type {AddressInfo} from 'node:net';
 import {acceptDelegation, type Delegation} from './delegation.js';
 import {dispatch} from './dispatch.js';
-import {createExchange, readRequestBody, type Exchange} from './exchange.js';
+import {admitRequest, onceClosed, trackConnections} from './connections.js';
+import {createExchange, RETRY_AFTER_MS, type Exchange} from './exchange.js';
+import {LimitKind, recordLimit} from './limit-uses.js';
 import {confirmationAge, isReady} from './freshness.js';
 import type {EntryNode} from './node.js';
 import {
@@ -16,11 +18,15 @@
   recordAnswer,
   writeFailure,
 } from './reply.js';
+import {heldBytes} from './held-bytes.js';
+import {readRequestBody} from './request-body.js';
 import {mayHaveRun} from './retries.js';
 import {takeTurn} from './turns.js';
 
 /** Header limit of the parser, which is set before the configured limit is known. */
 const MAX_HEADER_BYTES = 128 << 10;
+/** Open connections of a listener for probes. */
+const MAX_PROBE_CONNECTIONS = 64;
 /** Interval of the check for connections that exceed their time limits. */
 const SLOW_CONNECTION_CHECK_MS = 500;
 
@@ -50,7 +56,7 @@
     recordAnswer(node, exchange, 0, 'caller disconnected');
     exchange.cancel?.('caller disconnected');
   };
-  exchange.response.once('close', onDisconnect);
+  onceClosed(node, exchange.response, onDisconnect);
   // The response closes two iterations of the event loop after its connection ends.
   const {socket} = exchange.request;
   socket.once('end', onDisconnect);
@@ -82,29 +88,51 @@
     );
   if (isRefusing(node.stop, node.clock())) {
     // Closing a connection with unread bytes would reset it, and lose the answer.
-    await readRequestBody(node, request);
+    const reading = readRequestBody(node, request);
+    await reading.result;
+    reading.release();
     return writeFailure(node, response, createStoppingFailure());
   }
+  if (node.exchanges.size >= node.clientLimits.requests) {
+    recordLimit(node, LimitKind.requests);
+    return writeFailure(node, response, createOverload());
+  }
   const created = createExchange(node, request, response, delegation);
   if (created.isErr()) {
-    const {kind, message} = created.error;
-    node.logDecision('refuse', {
-      requestId: request.headers['x-request-id'],
-      host: request.headers.host,
-      target: request.url?.slice(0, 100),
-      configuration: node.routes?.table.version,
-      confirmationAgeMs: Math.round(confirmationAge(node)),
-      kind,
-      reason: message,
-    });
-    node.metrics.answers.inc({route: '', status: kind});
+    recordRefusal(node, request, created.error);
     return writeFailure(node, response, created.error);
   }
-  const exchange = created.value;
+  await serveExchange(node, created.value);
+}
+
+/** Records the refusal of a request whose route is not known. */
+function recordRefusal(
+  node: EntryNode,
+  request: http.IncomingMessage,
+  {kind, message}: Failure,
+): void {
+  node.logDecision('refuse', {
+    requestId: request.headers['x-request-id'],
+    host: request.headers.host,
+    target: request.url?.slice(0, 100),
+    configuration: node.routes?.table.version,
+    confirmationAgeMs: Math.round(confirmationAge(node)),
+    kind,
+    reason: message,
+  });
+  node.metrics.answers.inc({route: '', status: kind});
+}
+
+async function serveExchange(
+  node: EntryNode,
+  exchange: Exchange,
+): Promise<void> {
   node.exchanges.add(exchange);
   const stopWatching = watchExchange(node, exchange);
+  const reading = readRequestBody(node, exchange.request);
+  exchange.cancel = reading.stop;
   try {
-    const body = await readRequestBody(node, request);
+    const body = await reading.result;
     if (body.isErr()) return endWithFailure(node, exchange, body.error);
     if (!body.value || exchange.ended) return;
     exchange.body = body.value;
@@ -113,10 +141,17 @@
     await dispatch(node, exchange);
   } finally {
     stopWatching();
+    reading.release();
     node.exchanges.delete(exchange);
   }
 }
 
+/** The refusal of a node that serves as many requests as it may. */
+function createOverload(): Failure {
+  const retryAfterMs = RETRY_AFTER_MS;
+  return failure('overloaded', 'too many requests', {retryAfterMs});
+}
+
 /** Answers all requests of a node whose grace period ends; streams are cut off. */
 export function giveUpRequests(node: EntryNode): void {
   for (const exchange of node.exchanges) {
@@ -134,9 +169,12 @@
   response: http.ServerResponse,
   delegation?: Delegation,
 ): Promise<void> {
+  if (!admitRequest(node, response)) return;
   node.active += 1;
   node.metrics.inFlight.set(node.active);
-  const closed = new Promise(resolve => response.once('close', resolve));
+  const closed = new Promise<void>(resolve =>
+    onceClosed(node, response, resolve),
+  );
   try {
     await serveRequest(node, request, response, delegation);
   } catch (thrown) {
@@ -185,13 +223,18 @@
     },
     (request, response) => void handleRequest(node, request, response),
   );
+  trackConnections(node, server);
   return server;
 }
 
 /** Creates the listener for requests that other nodes delegate to this one. */
 export function createDelegationListener(node: EntryNode): http.Server {
-  return http.createServer(
-    {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
+  const server = http.createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: SLOW_CONNECTION_CHECK_MS,
+      noDelay: true,
+    },
     (request, response) => {
       const delegation = acceptDelegation(node, request);
       if (delegation)
@@ -200,11 +243,23 @@
       response.writeHead(403, {connection: 'close'}).end();
     },
   );
+  trackConnections(node, server);
+  return server;
+}
+
+/** Creates a listener for the few clients that probe a node. */
+function createProbedServer(listener: http.RequestListener): http.Server {
+  const server = http.createServer(
+    {connectionsCheckingInterval: SLOW_CONNECTION_CHECK_MS},
+    listener,
+  );
+  server.maxConnections = MAX_PROBE_CONNECTIONS;
+  return server;
 }
 
 /** Creates the listener that answers the load balancer's readiness probes. */
 export function createReadinessListener(node: EntryNode): http.Server {
-  return http.createServer((request, response) => {
+  return createProbedServer((request, response) => {
     const isReadinessPath = request.url?.split('?', 1)[0] === READINESS_PATH;
     response.writeHead(isReadinessPath ? (isReady(node) ? 200 : 503) : 404);
     response.end();
@@ -212,7 +267,8 @@
 }
 
 export function createMetricsListener(node: EntryNode): http.Server {
-  return http.createServer((_request, response) => {
+  return createProbedServer((_request, response) => {
+    node.metrics.heldBytes.set(heldBytes(node));
     node.metrics.registry.metrics().then(
       text => {
         response.writeHead(200, {
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -11,6 +11,8 @@
   readonly crashes: Counter<'service'>;
   readonly delegations: Counter<'outcome'>;
   readonly restorations: Counter;
+  readonly clientLimits: Counter<'limit'>;
+  readonly heldBytes: Gauge;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -74,6 +76,17 @@
       labelNames: ['model', 'use'],
       registers,
     }),
+    clientLimits: new Counter({
+      name: 'parsleyarch_entry_client_limits_total',
+      help: 'Uses of the limits on clients, by limit',
+      labelNames: ['limit'],
+      registers,
+    }),
+    heldBytes: new Gauge({
+      name: 'parsleyarch_entry_held_bytes',
+      help: 'Bytes held for callers and upstreams',
+      registers,
+    }),
     inFlight: new Gauge({
       name: 'parsleyarch_entry_in_flight',
       help: 'Requests now being served',
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -17,6 +17,11 @@
   readBothClocks,
   readContinuousClock,
 } from '@parsleyarch/protocol/continuous-clock';
+import {createBytesHeld, type BytesHeld} from '@parsleyarch/policy/bytes-held';
+import {
+  deriveClientLimits,
+  type ClientLimits,
+} from '@parsleyarch/policy/client-limits';
 import type {RouteIndex} from '@parsleyarch/policy/routes';
 import type {RetryWindow} from '@parsleyarch/policy/retry-window';
 import type {ShareBucket} from '@parsleyarch/policy/shared-limit';
@@ -33,6 +38,8 @@
 import {createLog, type Log} from '@parsleyarch/telemetry/log';
 import {randomUUID} from 'node:crypto';
 import * as http from 'node:http';
+import type {LimitKind, LimitUse} from './limit-uses.js';
+import type {Connections} from './connections.js';
 import {createCrashes, type Crashes} from './crashes.js';
 import type {Delegates} from './delegation.js';
 import type {Exchange} from './exchange.js';
@@ -148,6 +155,13 @@
   readonly delegates: Delegates;
   readonly reachability: Reachability;
   readonly holderState: HolderState;
+  /** Limits on clients, as settings or the machine state them. */
+  readonly clientLimits: ClientLimits;
+  readonly limitUses: Map<LimitKind, LimitUse>;
+  /** Open connections of clients. */
+  readonly connections: Connections;
+  /** Bytes held for callers and upstreams. */
+  readonly held: BytesHeld;
   readonly peers: PeerConnections;
   readonly retries: Map<string, RetryWindow>;
   /** Registered nodes, by name. */
@@ -198,6 +212,7 @@
     else log.error({part: name, error: String(error)}, 'failed to stop');
   });
   const metrics = createEntryMetrics();
+  const clientLimits = deriveClientLimits(settings.machine, settings.clients);
   const elapsed = createContinuousClock(performance.now(), Date.now());
   return {
     settings,
@@ -231,6 +246,10 @@
     delegates: {skipped: new Map()},
     reachability: createReachability(),
     holderState: createHolderState(),
+    clientLimits,
+    limitUses: new Map(),
+    connections: new Map(),
+    held: createBytesHeld(clientLimits.heldBytes),
     peers: {},
     retries: new Map(),
     members: new Map(),
--- a/apps/router/src/entry/relay.ts
+++ b/apps/router/src/entry/relay.ts
@@ -2,7 +2,7 @@
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {createParser} from 'eventsource-parser';
 import type {ServerResponse} from 'node:http';
-import {isComplete, MAX_BUFFERED_BYTES, type AnswerBody} from './attempt.js';
+import {appendBytes, createByteBuffer} from '../byte-buffer.js';
 import type {EntryNode} from './node.js';
 
 /**
@@ -31,24 +31,7 @@
   response.writeHead(answer.status, headers);
 }
 
-/** Reads a complete body; `undefined` if it is truncated or too large. */
-export async function readAnswerBody(
-  body: Pick<AnswerBody, 'message' | 'broken'>,
-): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of body.message as AsyncIterable<Buffer>) {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size > MAX_BUFFERED_BYTES) return undefined;
-    }
-  } catch {
-    return undefined;
-  }
-  return isComplete(body) ? Buffer.concat(chunks) : undefined;
-}
-
+const NO_BYTES = Buffer.alloc(0);
 /** Maximum size of an event; more than engines send in one. */
 const MAX_EVENT_BYTES = 1 << 20;
 
@@ -65,8 +48,8 @@
   readonly isRepeating: () => boolean;
   /** Discards an incomplete event before the stream resumes elsewhere. */
   reset(): void;
-  /** Whether bytes of an incomplete event are buffered. */
-  readonly hasPartial: () => boolean;
+  /** Bytes of an incomplete event that are buffered. */
+  readonly partialBytes: () => number;
 }
 
 function findLastEventEnd(bytes: Buffer): number {
@@ -80,32 +63,38 @@
 
 /** Creates a splitter for a stream that begins after the event `lastId`. */
 export function createEventSplitter(lastId: string): EventSplitter {
-  let partial: Buffer = Buffer.alloc(0);
+  let partial = createByteBuffer(Infinity);
   let resumedAfter = lastId;
   let isFirst = true;
   let repeating = false;
+  const joinPartial = (chunk: Buffer): Buffer => {
+    if (partial.length === 0) return chunk;
+    appendBytes(partial, chunk);
+    return partial.bytes.subarray(0, partial.length);
+  };
   const splitter: EventSplitter = {
     lastId,
     eventCount: 0,
     isTooLarge: () => partial.length > MAX_EVENT_BYTES,
     split(chunk) {
-      const bytes =
-        partial.length === 0 ? chunk : Buffer.concat([partial, chunk]);
+      const bytes = joinPartial(chunk);
       const end = findLastEventEnd(bytes);
-      partial = bytes.subarray(end);
+      if (end === 0 && partial.length > 0) return NO_BYTES;
+      partial = createByteBuffer(Infinity);
+      if (end < bytes.length) appendBytes(partial, bytes.subarray(end));
       const complete = bytes.subarray(0, end);
       if (end > 0) parser.feed(complete.toString('utf8'));
       return complete;
     },
     isRepeating: () => repeating,
     reset() {
-      partial = Buffer.alloc(0);
+      partial = createByteBuffer(Infinity);
       resumedAfter = splitter.lastId;
       isFirst = true;
       repeating = false;
       parser.reset();
     },
-    hasPartial: () => partial.length > 0,
+    partialBytes: () => partial.length,
   };
   const parser = createParser({
     onEvent: ({id}) => {
@@ -120,25 +109,3 @@
   });
   return splitter;
 }
-
-/**
- * Writes bytes; under backpressure, waits until the caller reads or closes.
- * Returns whether it has waited.
- */
-export async function writeBytes(
-  response: ServerResponse,
-  bytes: Buffer,
-): Promise<boolean> {
-  if (bytes.length === 0 || response.destroyed) return false;
-  if (response.write(bytes)) return false;
-  await new Promise<void>(resolve => {
-    const done = () => {
-      response.off('drain', done);
-      response.off('close', done);
-      resolve();
-    };
-    response.on('drain', done);
-    response.on('close', done);
-  });
-  return true;
-}
--- a/apps/router/src/entry/reply.ts
+++ b/apps/router/src/entry/reply.ts
@@ -9,7 +9,9 @@
 import type {ServerResponse} from 'node:http';
 import type {Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
+import {endWithBody} from './answer-writer.js';
 import {FAILURE_FIELD, writeHead} from './relay.js';
+import {endAfterRequestBody} from './unread-body.js';
 
 const MS_PER_SECOND = 1_000;
 /** Retry delay of callers that a stopping node refuses; short, as they reach another node. */
@@ -42,7 +44,7 @@
   if (node.stopping || CONNECTION_CLOSING_KINDS.has(kind))
     headers['connection'] = 'close';
   response.writeHead(status, headers);
-  response.end(text);
+  endAfterRequestBody(node, response, text);
 }
 
 /** The refusal of a node that is being stopped. */
@@ -117,6 +119,6 @@
   }
   exchange.ended = true;
   writeHead(node, exchange.response, answer, body.length);
-  exchange.response.end(body);
+  endWithBody(node, exchange.response, body);
   recordAnswer(node, exchange, answer.status, 'upstream');
 }
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -117,10 +117,13 @@
   registerListener(node, 'metrics-listener', metrics);
   await listen(metrics, settings.metrics);
   const ingress = createCallerListener(node);
-  node.onConfiguration = table => applyCallerLimits(ingress, table);
   // Connections are accepted at once; requests get 503 before a configuration.
   await listen(ingress, settings.callers);
   const delegation = createDelegationListener(node);
+  node.onConfiguration = table => {
+    for (const listener of [ingress, delegation])
+      applyCallerLimits(listener, table);
+  };
   await listen(delegation, settings.delegation);
   node.onPeerKey = () => void servePeers(node);
   node.feed.subscribers.push(
--- a/apps/router/src/entry/settings.ts
+++ b/apps/router/src/entry/settings.ts
@@ -73,6 +73,27 @@
       linkMbps: z.number().positive().optional(),
     })
     .default({}),
+  /** Limits on clients; those left out follow from the machine. */
+  clients: z
+    .strictObject({
+      /** Memory for request bodies, answers and bytes that callers have not read. */
+      heldMb: z.number().positive().optional(),
+      /** Open connections of callers and of nodes that delegate requests. */
+      connections: z.number().int().positive().optional(),
+      /** Requests that are served at the same time. */
+      requests: z.number().int().positive().optional(),
+      /** Requests of one connection that are not answered. */
+      pipelined: z.number().int().positive().default(8),
+      /** Time for which the body of a refused request is still received. */
+      refusedBodyMs: milliseconds.default(2_000),
+      /** Bytes of a stream that its caller may leave unread before its upstream waits. */
+      streamBufferKb: z.number().positive().default(256),
+      /** Time for which an upstream may wait for a caller that does not read. */
+      heldBackMs: milliseconds.default(2_000),
+      /** Time for which a caller may leave a complete answer unread. */
+      unreadMs: milliseconds.positive().default(10_000),
+    })
+    .prefault({}),
   logLevel: z
     .enum(['debug', 'info', 'warn', 'error', 'silent'])
     .default('info'),
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -2,6 +2,11 @@
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import {permitRun} from '@parsleyarch/policy/runs';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
+import {
+  createStreamWriter,
+  endStream,
+  type StreamWriter,
+} from './answer-writer.js';
 import {isComplete, type AnswerBody} from './attempt.js';
 import {
   mayBeCutOff,
@@ -10,12 +15,7 @@
 } from './crashes.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
-import {
-  createEventSplitter,
-  writeBytes,
-  writeHead,
-  type EventSplitter,
-} from './relay.js';
+import {createEventSplitter, writeHead, type EventSplitter} from './relay.js';
 import {recordAnswer} from './reply.js';
 import {mayRetry, reserveSend} from './retries.js';
 import {hasUntriedUpstream} from './exclusions.js';
@@ -80,6 +80,7 @@
   model: string | undefined,
   body: AnswerBody,
   splitter: EventSplitter,
+  writer: StreamWriter,
 ): Promise<StreamEnd> {
   const gaps = watchGaps(node, exchange, body);
   const pace = watchPace(node, exchange, body, model);
@@ -93,9 +94,12 @@
       if (splitter.isRepeating()) return StreamEnd.abandoned;
       pace.update(splitter.eventCount - relayedCount);
       updateSurvival(splitter.eventCount - relayedCount);
-      // Time in which the caller does not read is no gap of the stream.
-      const writtenAt = node.clock();
-      if (await writeBytes(exchange.response, events)) {
+      writer.write(events, splitter.partialBytes());
+      if (writer.isHeldBack()) {
+        // Time in which the caller does not read is no gap of the stream.
+        gaps.stop();
+        const writtenAt = node.clock();
+        await writer.waitForReader();
         pace.exclude(node.clock() - writtenAt);
         gaps.restart();
       } else if (splitter.eventCount > known) gaps.restart();
@@ -108,7 +112,7 @@
   }
   // A connection that closes before the first event cannot tell an end from a crash.
   const isEmpty = body.closeDelimited && splitter.eventCount === relayedCount;
-  const isWhole = isComplete(body) && !splitter.hasPartial() && !isEmpty;
+  const isWhole = isComplete(body) && splitter.partialBytes() === 0 && !isEmpty;
   return isWhole && !(await mayBeCutOff(node, body))
     ? StreamEnd.complete
     : StreamEnd.brokenOff;
@@ -168,14 +172,22 @@
   const firstByteMs = node.clock() - exchange.startedAt;
   node.metrics.firstByte.observe({route}, firstByteMs / 1_000);
   const splitter = createEventSplitter(caller.lastEventId);
+  const writer = createStreamWriter(node, response);
   let body: AnswerBody | undefined = firstBody;
   while (body) {
-    const end = await relayEvents(node, exchange, model, body, splitter);
+    const end = await relayEvents(
+      node,
+      exchange,
+      model,
+      body,
+      splitter,
+      writer,
+    );
     if (end === StreamEnd.complete) {
       recordCompleteAnswer(node, exchange, body);
       if (exchange.ended) return true;
       exchange.ended = true;
-      response.end();
+      endStream(node, response);
       recordAnswer(node, exchange, answer.status, 'stream complete');
       return true;
     }
--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -39,6 +39,13 @@
     rollout: {exposeShare: 0.15, exposeSlack: 30, sessionSeconds: 5},
     stop: {graceSeconds: 5},
     machine: {},
+    clients: {
+      pipelined: 8,
+      refusedBodyMs: 2_000,
+      streamBufferKb: 256,
+      heldBackMs: 2_000,
+      unreadMs: 10_000,
+    },
     logLevel: 'silent',
     ...changes,
   };
