--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -14,6 +14,8 @@
   readonly unreadableLoads: Counter;
   readonly loadAge: Gauge;
   readonly busiestOverMean: Gauge<'service'>;
+  readonly clientLimits: Counter<'limit'>;
+  readonly heldBytes: Gauge;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -93,6 +95,17 @@
       help: 'Load fields of upstreams that could not be read',
       registers,
     }),
+    clientLimits: new Counter({
+      name: 'parsleyarch_entry_client_limits_total',
+      help: 'Uses of the limits on clients, by limit',
+      labelNames: ['limit'],
+      registers,
+    }),
+    heldBytes: new Gauge({
+      name: 'parsleyarch_entry_held_bytes',
+      help: 'Bytes held for callers and upstreams',
+      registers,
+    }),
     inFlight: new Gauge({
       name: 'parsleyarch_entry_in_flight',
       help: 'Requests now being served',
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -114,14 +114,17 @@
   const metrics = createMetricsListener(node);
   registerListener(node, 'readiness-listener', readiness);
   registerListener(node, 'metrics-listener', metrics);
-  node.onConfiguration = table => applyCallerLimits(ingress, table);
+  const listeners = [ingress, delegation];
+  node.onConfiguration = table => {
+    for (const listener of listeners) applyCallerLimits(listener, table);
+  };
   await Promise.all([
     listen(ingress, settings.callers),
     listen(delegation, settings.delegation),
     listen(readiness, settings.readiness),
     listen(metrics, settings.metrics),
   ]);
-  return [ingress, delegation];
+  return listeners;
 }
 
 async function start(node: EntryNode): Promise<void> {
--- a/apps/router/test/entry/site.ts
+++ b/apps/router/test/entry/site.ts
@@ -40,6 +40,13 @@
     stop: {graceSeconds: 5},
     balancing: {oldLoad: 'level'},
     machine: {},
+    clients: {
+      pipelined: 8,
+      refusedBodyMs: 2_000,
+      streamBufferKb: 256,
+      heldBackMs: 2_000,
+      unreadMs: 10_000,
+    },
     logLevel: 'silent',
     ...changes,
   };
