Measure the pressure on a node, and withdraw it from the balancer for a moment

Cause: the balancer spreads connections by hash, whatever a node can carry, and a node near its processor, link, descriptors or memory neither knew nor said so.

Change: four times a second a node measures the used share of what settings.machine declares, smoothed, with a high and a low mark. While it is under pressure it says so with its reports of load and is the last choice as a delegate. While less than half of its failure domain is, a tenth of the domain's nodes at most are not ready for 4 s, each at most a tenth of the time; none in a domain of fewer than ten nodes. Settings without machine limits and nodes of an earlier release count as without pressure by these.

--- a/apps/router/src/entry/attempt.ts
+++ b/apps/router/src/entry/attempt.ts
@@ -11,6 +11,7 @@
 import type {EntryNode, UpstreamState} from './node.js';
 import type {Exchange} from './exchange.js';
 import {recordWorkSent} from './placing.js';
+import {recordPassed} from './pressure.js';
 import {recordConnection} from './reachability.js';
 import type {Selection} from './selection.js';
 import {afterEvents} from './turns.js';
@@ -230,6 +231,8 @@
     });
     outgoing.on('close', () => {
       clearTimeout(connectTimer);
+      const {bytesRead = 0, bytesWritten = 0} = outgoing.socket ?? {};
+      recordPassed(node, bytesRead + bytesWritten);
       upstream.inFlight -= 1;
       if (body) upstream.streaming -= 1;
       else upstream.pendingWork -= addedWork;
--- a/apps/router/src/entry/delegation.ts
+++ b/apps/router/src/entry/delegation.ts
@@ -80,8 +80,8 @@
   if (name === node.settings.node || delegation === undefined) return false;
   if (triedDelegates.has(name)) return false;
   if ((node.delegates.skipped.get(name) ?? 0) > node.clock()) return false;
-  const cutOff = node.load.cutOff.find(other => other.node === name);
-  return !cutOff?.services.includes(service);
+  const condition = node.load.cutOff.find(other => other.node === name);
+  return !condition?.services.includes(service);
 }
 
 /** The node that serves a request for this one; `undefined` if it needs none. */
@@ -93,7 +93,14 @@
   const candidates = [...node.members.values()].filter(member =>
     mayServe(node, exchange, member),
   );
-  return chooseDelegate(candidates, node.settings.failureDomain, node.random);
+  const pressed = node.load.cutOff.filter(({isPressed}) => isPressed);
+  const names = new Set(pressed.map(({node: name}) => name));
+  const free = candidates.filter(({name}) => !names.has(name));
+  return chooseDelegate(
+    free.length > 0 ? free : candidates,
+    node.settings.failureDomain,
+    node.random,
+  );
 }
 
 function buildHeaders(
--- a/apps/router/src/entry/freshness.ts
+++ b/apps/router/src/entry/freshness.ts
@@ -3,6 +3,7 @@
  * confirmation counts from the moment its call was sent, on a clock that
  * includes time in which the machine is suspended.
  */
+import {isWithdrawn} from '@parsleyarch/policy/withdrawal';
 import type {EntryNode} from './node.js';
 
 /** Time for a request to reach its upstream before its key may be revoked. */
@@ -34,6 +35,7 @@
 /** Whether the node should take new connections. */
 export function isReady(node: EntryNode): boolean {
   if (node.stopping || !node.routes) return false;
+  if (isWithdrawn(node.pressure.withdrawal, node.clock())) return false;
   const {failClosed, revokeMs} = node.settings.keys;
   return !failClosed || confirmationAge(node) < revokeMs * READY_AGE_RATIO;
 }
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -14,6 +14,10 @@
   readonly unreadableLoads: Counter;
   readonly loadAge: Gauge;
   readonly busiestOverMean: Gauge<'service'>;
+  readonly loopLag: Gauge;
+  readonly pressure: Gauge<'resource'>;
+  readonly earlyRefusals: Counter;
+  readonly withdrawals: Counter;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -93,6 +97,27 @@
       help: 'Load fields of upstreams that could not be read',
       registers,
     }),
+    loopLag: new Gauge({
+      name: 'parsleyarch_entry_loop_lag_seconds',
+      help: 'Time for which events wait for the event loop',
+      registers,
+    }),
+    pressure: new Gauge({
+      name: 'parsleyarch_entry_used_share',
+      help: 'Smoothed share of a limit of the machine that is used, by resource',
+      labelNames: ['resource'],
+      registers,
+    }),
+    earlyRefusals: new Counter({
+      name: 'parsleyarch_entry_early_refusals_total',
+      help: 'Requests refused because the event loop is behind',
+      registers,
+    }),
+    withdrawals: new Counter({
+      name: 'parsleyarch_entry_withdrawals_total',
+      help: 'Times that the node reported itself not ready under pressure',
+      registers,
+    }),
     inFlight: new Gauge({
       name: 'parsleyarch_entry_in_flight',
       help: 'Requests now being served',
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -45,6 +45,7 @@
 import type {UpstreamNotice} from './notices.js';
 import {createHolderState, type HolderState} from './holder.js';
 import {createPlacing, type Placing} from './placing.js';
+import {createPressure, type Pressure} from './pressure.js';
 import {createReachability, type Reachability} from './reachability.js';
 import type {EntrySettings} from './settings.js';
 import {createStatements, type Statements} from './statements.js';
@@ -144,6 +145,7 @@
   readonly load: SharedLoad;
   readonly turns: Turns;
   readonly placing: Placing;
+  readonly pressure: Pressure;
   readonly crashes: Crashes;
   readonly delegates: Delegates;
   readonly reachability: Reachability;
@@ -227,6 +229,7 @@
     load: createSharedLoad(),
     turns: createTurns(performance.now()),
     placing: createPlacing(),
+    pressure: createPressure(performance.now()),
     crashes: createCrashes(),
     delegates: {skipped: new Map()},
     reachability: createReachability(),
--- a/apps/router/src/entry/reachability.ts
+++ b/apps/router/src/entry/reachability.ts
@@ -10,6 +10,7 @@
 import type * as http from 'node:http';
 import type {Socket} from 'node:net';
 import type {EntryNode, UpstreamState} from './node.js';
+import {reportPressure} from './pressure.js';
 
 const PROBE_INTERVAL_MS = 500;
 const PROBE_TIMEOUT_MS = 400;
@@ -39,12 +40,12 @@
   );
 }
 
-/** This node if it is cut off from a service, for other nodes. */
-export function reportCutOff({
-  settings,
-  reachability: {cutOff},
-}: EntryNode): CutOffNode[] {
-  return cutOff.size > 0 ? [{node: settings.node, services: [...cutOff]}] : [];
+/** This node if it is cut off from a service or under pressure, for other nodes. */
+export function reportCutOff(node: EntryNode): CutOffNode[] {
+  const services = [...node.reachability.cutOff];
+  const pressure = reportPressure(node);
+  if (services.length === 0 && !pressure) return [];
+  return [{node: node.settings.node, services, ...pressure}];
 }
 
 /** Failures of connections that this node has lost say nothing of upstreams. */
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -21,10 +21,10 @@
 } from './ingress.js';
 import {answerConsultation, runRollouts} from './holder.js';
 import {collectLoad, shareLoads} from './load-exchange.js';
+import {measurePressure} from './pressure.js';
 import {probeWhileCutOff} from './reachability.js';
 import {keepRegistered, routerSubscriber} from './membership.js';
 import {probeForPeer} from './end-probes.js';
-import {measureLag} from './turns.js';
 import {createEntryNode, type EntryNode} from './node.js';
 import type {EntrySettings} from './settings.js';
 
@@ -109,7 +109,6 @@
   const {manager, settings} = node;
   node.log.info({incarnation: node.incarnation}, 'starting');
   registerResource(manager, 'store', () => closeKeyspace(node.keyspace));
-  measureLag(node);
   const readiness = createReadinessListener(node);
   registerListener(node, 'readiness-listener', readiness);
   await listen(readiness, settings.readiness);
@@ -122,6 +121,7 @@
   await listen(ingress, settings.callers);
   const delegation = createDelegationListener(node);
   await listen(delegation, settings.delegation);
+  measurePressure(node, [ingress, delegation]);
   node.onPeerKey = () => void servePeers(node);
   node.feed.subscribers.push(
     routerSubscriber(node),
--- /dev/null
+++ b/apps/router/test/entry/pressure.test.ts
@@ -0,0 +1,98 @@
+/** Tests of a node that is near the limits of its machine. */
+import {isReady} from '@parsleyarch/router/entry/freshness';
+import {collectLoad} from '@parsleyarch/router/entry/load-exchange';
+import type {Entry} from '@parsleyarch/router/entry/serve';
+import test, {type ExecutionContext} from 'ava';
+import '../exit.js';
+import {
+  closeSite,
+  configure,
+  route,
+  startNode,
+  startSite,
+  until,
+  type Site,
+} from './site.js';
+
+/** Nodes of the failure domain of which one may be withdrawn. */
+const NODE_COUNT = 12;
+const PLAY_MS = 7_000;
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+function block(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
+/** Starts a node among registered ones that only report. */
+async function start(t: ExecutionContext): Promise<[Site, Entry]> {
+  const site = await startSite(1);
+  t.teardown(() => closeSite(site));
+  configure(site, [route({goal_ms: 2_000})]);
+  for (let index = 1; index < NODE_COUNT; index += 1)
+    site.store.put(`router/nodes/other-${index}`, {
+      address: '127.0.0.1:1',
+      failureDomain: 'gulberg',
+    });
+  const entry = await startNode(site);
+  await until(() => entry.node.members.size === NODE_COUNT);
+  return [site, entry];
+}
+
+/** Reports of the other nodes; those of an earlier release tell no pressure. */
+function report({node}: Entry, pressedCount: number): void {
+  for (let index = 1; index < NODE_COUNT; index += 1) {
+    const name = `other-${index}`;
+    const isPressed = index <= pressedCount ? true : undefined;
+    collectLoad(node, {
+      node: name,
+      loads: [],
+      isGroup: false,
+      leaving: [],
+      statements: [],
+      cutOff: [{node: name, services: [], isPressed}],
+      crashDigest: 0,
+      crashes: [],
+    });
+  }
+}
+
+/** Keeps the event loop busy for a measurement. */
+async function press(entry: Entry, pressedCount: number): Promise<void> {
+  report(entry, pressedCount);
+  block(240);
+  await pause(5);
+}
+
+/** Keeps the event loop busy; returns how long the node was not ready. */
+async function play(entry: Entry, pressedCount: number): Promise<number> {
+  const end = performance.now() + PLAY_MS;
+  let unreadyMs = 0;
+  while (performance.now() < end) {
+    const before = performance.now();
+    await press(entry, pressedCount);
+    if (!isReady(entry.node)) unreadyMs += performance.now() - before;
+  }
+  return unreadyMs;
+}
+
+test.serial(
+  'a node under pressure is not ready for a moment while its domain has room',
+  async t => {
+    const [, entry] = await start(t);
+    t.true(isReady(entry.node));
+    t.true((await play(entry, 1)) > 1_000);
+    await until(() => isReady(entry.node));
+    t.is(await play(entry, 1), 0);
+  },
+);
+
+test.serial(
+  'a node under pressure stays ready while half of its domain is',
+  async t => {
+    const [, entry] = await start(t);
+    t.is(await play(entry, NODE_COUNT / 2), 0);
+    t.not(entry.node.pressure.current.cause, undefined);
+  },
+);
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -210,10 +210,15 @@
   /** Empty if the receiver is known to have the same digest. */
   readonly crashes: readonly CrashedUpstream[];
 }
-/** A node that cannot connect to the upstreams of some services. */
+/** A node that cannot connect to the upstreams of some services, or is under pressure. */
 export interface CutOffNode {
   readonly node: string;
   readonly services: readonly string[];
+  /** Whether it is near a limit of its machine; absent at an earlier release. */
+  readonly isPressed?: boolean;
+  /** Whether it wants to withdraw from the balancer. */
+  readonly isAnnounced?: boolean;
+  readonly isWithdrawn?: boolean;
 }
 /** The load that one node, or the nodes of its group, placed on each upstream. */
 export interface LoadReport extends CrashReport {
--- a/packages/policy/src/processor-turns.ts
+++ b/packages/policy/src/processor-turns.ts
@@ -47,6 +47,14 @@
   waiting.splice(position, 0, {item, priority, iteration});
 }
 
+/** Requests that begin before a new one of a priority. */
+export function countAhead<T>(
+  {waiting}: TurnQueue<T>,
+  priority: number,
+): number {
+  return waiting.filter(other => other.priority <= priority).length;
+}
+
 /**
  * Begins an iteration of the event loop. Returns the requests that have ended and the
  * one whose turn it is, and removes them.
