Refuse early what a node that is behind cannot serve in time

Cause: a node whose processor is saturated answered all requests late, although a retry of their callers reaches another node.

Change: the requests ahead and the mean time between two turns predict the delay on the node. A request is refused with Retry-After 0.05 before it is sent if its deadline would pass, or, while the node is under pressure and most others of its domain are not, if the delay takes more than half of its objective and a retry would take less.

Ruled out: delegation.

--- a/apps/router/src/entry/ingress.ts
+++ b/apps/router/src/entry/ingress.ts
@@ -108,7 +108,8 @@
     if (body.isErr()) return endWithFailure(node, exchange, body.error);
     if (!body.value || exchange.ended) return;
     exchange.body = body.value;
-    await takeTurn(node, exchange);
+    const refusal = await takeTurn(node, exchange);
+    if (refusal) return endWithFailure(node, exchange, refusal);
     if (exchange.ended) return;
     await dispatch(node, exchange);
   } finally {
--- a/apps/router/src/entry/turns.ts
+++ b/apps/router/src/entry/turns.ts
@@ -3,15 +3,19 @@
  * its request was read is known only two iterations of the loop later; without turns the
  * request would have been sent by then.
  */
-import {registerResource} from '@parsleyarch/lifecycle/manager';
+import {failure, type Failure} from '@parsleyarch/errors/failure';
+import {
+  EARLY_RETRY_AFTER_MS,
+  isBetterRefused,
+} from '@parsleyarch/policy/early-refusal';
 import {
   createLoopLag,
   isBehind,
-  recordTick,
-  TICK_INTERVAL_MS,
+  lagAt,
   type LoopLag,
 } from '@parsleyarch/policy/loop-lag';
 import {
+  countAhead,
   createTurnQueue,
   enqueue,
   takeNext,
@@ -36,15 +40,6 @@
   return {lag: createLoopLag(now), queue: createTurnQueue()};
 }
 
-/** Measures the lag of the event loop until the node stops. */
-export function measureLag({manager, turns, clock}: EntryNode): void {
-  const timer = setInterval(
-    () => recordTick(turns.lag, clock()),
-    TICK_INTERVAL_MS,
-  );
-  registerResource(manager, 'loop-lag', () => clearInterval(timer));
-}
-
 /** Marks the current iteration of the event loop as one that reads requests. */
 function markIteration({lag}: Turns, now: number): void {
   if (lag.iterationStartedAt !== undefined) return;
@@ -59,20 +54,47 @@
   if (queue.waiting.length > 0) setImmediate(() => runIteration(node));
 }
 
-/** Resolves when a request may begin: at once unless the event loop is behind. */
+/** The refusal of a request that another node serves sooner; `undefined` if none does. */
+function findRefusal(
+  node: EntryNode,
+  exchange: Exchange,
+  now: number,
+): Failure | undefined {
+  const {lag, queue} = node.turns;
+  const isBetter = isBetterRefused({
+    aheadCount: countAhead(queue, priorityOf(exchange)),
+    turnMs: queue.turnMs,
+    waitedMs: lagAt(lag, now),
+    objectiveMs: exchange.route.objectiveMs,
+    leftMs: exchange.deadlineAt - now,
+    hasRoomElsewhere: node.pressure.hasRoomElsewhere,
+  });
+  if (!isBetter) return undefined;
+  node.metrics.earlyRefusals.inc();
+  const retryAfterMs = EARLY_RETRY_AFTER_MS;
+  return failure('overloaded', 'the node is behind', {retryAfterMs});
+}
+
+/**
+ * Resolves when a request may begin: at once unless the event loop is behind. Resolves
+ * with the failure if it is to be refused.
+ */
 export async function takeTurn(
   node: EntryNode,
   exchange: Exchange,
-): Promise<void> {
+): Promise<Failure | undefined> {
   const {lag, queue} = node.turns;
   const now = node.clock();
   markIteration(node.turns, now);
   const isFirst = queue.waiting.length === 0;
-  if (isFirst && !isBehind(lag, now)) return;
+  if (isFirst && !isBehind(lag, now)) return undefined;
+  const refusal = findRefusal(node, exchange, now);
+  if (refusal) return refusal;
   await new Promise<void>(begin => {
     enqueue(queue, {exchange, begin}, priorityOf(exchange));
     if (isFirst) setImmediate(() => runIteration(node));
   });
+  return undefined;
 }
 
 /**
--- a/apps/router/test/entry/pressure.test.ts
+++ b/apps/router/test/entry/pressure.test.ts
@@ -5,6 +5,7 @@
 import test, {type ExecutionContext} from 'ava';
 import '../exit.js';
 import {
+  call,
   closeSite,
   configure,
   route,
@@ -96,3 +97,36 @@
     t.not(entry.node.pressure.current.cause, undefined);
   },
 );
+
+/** A request that is read late by a node under pressure. */
+async function callLate(
+  entry: Entry,
+  pressedCount: number,
+): ReturnType<typeof call> {
+  while (!entry.node.pressure.current.cause) await press(entry, pressedCount);
+  entry.node.turns.queue.turnMs = 300;
+  const onConnect = () => block(400);
+  return call(entry, {
+    onSent: sent =>
+      sent.once('socket', socket => socket.once('connect', onConnect)),
+  });
+}
+
+test.serial(
+  'a node that is behind refuses what another serves in time, and runs none of it',
+  async t => {
+    const [site, entry] = await start(t);
+    const answer = await callLate(entry, 1);
+    t.is(answer.status, 503);
+    t.is(answer.headers['retry-after'], '0.05');
+    t.is(site.runners[0].requests.length, 0);
+  },
+);
+
+test.serial(
+  'a node that is behind serves its callers while no other has room',
+  async t => {
+    const [, entry] = await start(t);
+    t.is((await callLate(entry, NODE_COUNT - 1)).status, 200);
+  },
+);
