Choose small nodes last for roles that serve the others

Cause: watchers of the store, collectors of load and the holder of roll-outs are chosen by name, also where the first by name has a quarter of the cores of the others.

Change: nodes register their cores; those with less than half of the largest one's come last. While the cores of any node are unknown, all nodes go by names alone, so that nodes of an earlier release agree. A node under pressure leaves the holder's lease to others while its failure domain has room.

--- a/apps/router/src/entry/holder.ts
+++ b/apps/router/src/entry/holder.ts
@@ -355,7 +355,10 @@
   }
   if (holderState.leaseEra < knownEra(node))
     dropHolderLease(node, 'the store was restored');
-  const mayAcquire = !node.stopping && node.clock() > holderState.yieldedUntil;
+  const mayAcquire =
+    !node.stopping &&
+    !node.pressure.hasRoomElsewhere &&
+    node.clock() > holderState.yieldedUntil;
   if (!holderState.holder && mayAcquire) await acquireHolderLease(node);
   else await renewHolderLease(node);
   await consultHolder(node);
--- a/apps/router/src/entry/membership.ts
+++ b/apps/router/src/entry/membership.ts
@@ -42,6 +42,7 @@
   address: z.string(),
   delegation: z.string().optional(),
   failureDomain: z.string(),
+  cores: z.number().positive().optional().catch(undefined),
 });
 const PlanEntry = z.object({
   order: z.number(),
@@ -61,8 +62,11 @@
 }
 
 function encodeMember(node: EntryNode): Buffer {
-  const {peers: address, delegation, failureDomain} = node.settings;
-  return Buffer.from(JSON.stringify({address, delegation, failureDomain}));
+  const {peers: address, delegation, failureDomain, machine} = node.settings;
+  const cores =
+    machine.processorShare && machine.processorShare * (machine.cores ?? 1);
+  const entry = {address, delegation, failureDomain, cores};
+  return Buffer.from(JSON.stringify(entry));
 }
 
 async function register(
--- a/apps/router/test/entry/pressure.test.ts
+++ b/apps/router/test/entry/pressure.test.ts
@@ -130,3 +130,28 @@
     t.is((await callLate(entry, NODE_COUNT - 1)).status, 200);
   },
 );
+
+test.serial(
+  'nodes register their cores, and one whose cores are odd is still a member',
+  async t => {
+    const site = await startSite(1);
+    t.teardown(() => closeSite(site));
+    configure(site, [route()]);
+    const machine = {processorShare: 0.3, cores: 2};
+    const {node} = await startNode(site, {machine});
+    for (const [name, cores] of [
+      ['odd', 'many'],
+      ['negative', -1],
+      ['earlier', undefined],
+    ])
+      site.store.put(`router/nodes/${name}`, {
+        address: '127.0.0.1:1',
+        failureDomain: 'gulberg',
+        cores,
+      });
+    await until(() => node.members.size === 4);
+    t.is(node.members.get(node.settings.node)?.cores, 0.6);
+    for (const name of ['odd', 'negative', 'earlier'])
+      t.is(node.members.get(name)?.cores, undefined);
+  },
+);
--- a/packages/policy/src/load-sharing.ts
+++ b/packages/policy/src/load-sharing.ts
@@ -5,7 +5,12 @@
  * groups, so that no node gets calls from all others. Reports are rarer there, as
  * a node receives fewer requests between two of them. Pure functions only.
  */
-import {listWatchers, orderByDomain, type ListedNode} from './watchers.js';
+import {
+  listWatchers,
+  orderByDomain,
+  orderForRoles,
+  type ListedNode,
+} from './watchers.js';
 
 /** Largest number of nodes with a single collector. */
 const MAX_SINGLE_COLLECTOR_NODES = 20;
@@ -23,7 +28,8 @@
   nodes: readonly ListedNode[],
   self: ListedNode,
 ): string[] {
-  if (!hasGroups(nodes.length)) return nodes.map(({name}) => name).sort();
+  if (!hasGroups(nodes.length))
+    return orderForRoles(nodes).map(({name}) => name);
   return orderByDomain(listWatchers(nodes), self).map(({name}) => name);
 }
 
--- a/packages/policy/test/load-sharing.test.ts
+++ b/packages/policy/test/load-sharing.test.ts
@@ -82,3 +82,17 @@
     t.is(interval(360), interval(1_000));
   }
 });
+
+test('a small node adds up load only where no larger one is', t => {
+  const [first, second] = listNodes(2, 1);
+  const collect = (cores: number[]) =>
+    listCollectors(
+      [
+        {...first, cores: cores[0]},
+        {...second, cores: cores[1]},
+      ],
+      first,
+    )[0];
+  t.is(collect([0.2, 0.7]), second.name);
+  t.is(collect([0.7, 1.3]), first.name);
+});
--- a/packages/policy/test/watchers.test.ts
+++ b/packages/policy/test/watchers.test.ts
@@ -44,3 +44,20 @@
   );
   t.pass();
 });
+
+test('small nodes watch only where no larger ones are, and by name where sizes are unknown', t => {
+  const sized = (name: string, failureDomain: string, cores?: number) => ({
+    ...node(name, failureDomain),
+    cores,
+  });
+  const nodes = [
+    sized('a', 'x', 0.2),
+    sized('b', 'x', 0.7),
+    sized('c', 'x', 1.3),
+    sized('d', 'y', 0.2),
+  ];
+  const watchersOf = (listed: typeof nodes) =>
+    listWatchers(listed).map(({name}) => name);
+  t.deepEqual(watchersOf(nodes), ['b', 'd']);
+  t.deepEqual(watchersOf([...nodes, sized('e', 'y')]), ['a', 'd']);
+});
