--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -16,6 +16,10 @@
   readonly busiestOverMean: Gauge<'service'>;
   readonly clientLimits: Counter<'limit'>;
   readonly heldBytes: Gauge;
+  readonly loopLag: Gauge;
+  readonly pressure: Gauge<'resource'>;
+  readonly earlyRefusals: Counter;
+  readonly withdrawals: Counter;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -106,6 +110,27 @@
       help: 'Bytes held for callers and upstreams',
       registers,
     }),
+    loopLag: new Gauge({
+      name: 'parsleyarch_entry_loop_lag_seconds',
+      help: 'Time for which events wait for the event loop',
+      registers,
+    }),
+    pressure: new Gauge({
+      name: 'parsleyarch_entry_used_share',
+      help: 'Smoothed share of a limit of the machine that is used, by resource',
+      labelNames: ['resource'],
+      registers,
+    }),
+    earlyRefusals: new Counter({
+      name: 'parsleyarch_entry_early_refusals_total',
+      help: 'Requests refused because the event loop is behind',
+      registers,
+    }),
+    withdrawals: new Counter({
+      name: 'parsleyarch_entry_withdrawals_total',
+      help: 'Times that the node reported itself not ready under pressure',
+      registers,
+    }),
     inFlight: new Gauge({
       name: 'parsleyarch_entry_in_flight',
       help: 'Requests now being served',
--- a/apps/router/src/entry/serve.ts
+++ b/apps/router/src/entry/serve.ts
@@ -21,10 +21,10 @@
 } from './ingress.js';
 import {answerConsultation, runRollouts} from './holder.js';
 import {collectLoad, shareLoads} from './load-exchange.js';
+import {measurePressure} from './pressure.js';
 import {probeWhileCutOff} from './reachability.js';
 import {keepRegistered, routerSubscriber} from './membership.js';
 import {probeForPeer} from './end-probes.js';
-import {measureLag} from './turns.js';
 import {createEntryNode, type EntryNode} from './node.js';
 import type {EntrySettings} from './settings.js';
 
@@ -131,7 +131,6 @@
   const {manager} = node;
   node.log.info({incarnation: node.incarnation}, 'starting');
   registerResource(manager, 'store', () => closeKeyspace(node.keyspace));
-  measureLag(node);
   node.onPeerKey = () => void servePeers(node);
   node.feed.subscribers.push(
     routerSubscriber(node),
@@ -141,6 +140,7 @@
   // The store answers while the listeners open.
   const firstRead = followStore(node);
   const listeners = await openListeners(node);
+  measurePressure(node, listeners);
   keepRegistered(node, firstRead);
   runRollouts(node);
   shareLoads(node);
