Expect the common beginnings of prompts at all engines

Cause: the work of a request was counted as if no engine but two had any of its shared segments. Many prompts begin with one of a few segments, which every engine has; the two engines seemed better than they are, and the work of requests larger.

Change: nodes count the beginnings that they send. Those that all nodes send often enough to have reached every engine within the time of a cache count as read nowhere; a single request of a node is taken for chance.

Measured: the tests of selection and prompt affinity.

--- a/apps/router/src/entry/level-selection.ts
+++ b/apps/router/src/entry/level-selection.ts
@@ -17,6 +17,7 @@
 import {estimateWork, placedHere, timeFactorOf} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
 import {expectWork, nextDraw} from './placing.js';
+import {countCommonTokens} from './prompt-cache.js';
 import {isColdLimitReached} from './upstream-records.js';
 
 /** An upstream and what is known of its queue. */
@@ -83,20 +84,23 @@
   );
   const {relativeTokenTime} = comparison;
   const {promptTokens} = exchange.caller;
-  const uncachedWork = prefillWork(promptTokens, relativeTokenTime);
-  const describeWork = ({state}: StatedUpstream): RequestWork => ({
-    addedWork: prefillWork(
-      countUncachedTokens(node, exchange, state, comparison),
-      relativeTokenTime,
-    ),
-    uncachedWork,
-    failures: state.failures.length,
-  });
+  const {keys} = comparison;
+  const common = countCommonTokens(node, exchange, keys, states.length);
+  const readAnywhere = Math.max(0, promptTokens - common);
+  const describeWork = ({state}: StatedUpstream): RequestWork => {
+    const uncached = countUncachedTokens(node, exchange, state, comparison);
+    const readTokens = Math.min(uncached, readAnywhere);
+    return {
+      addedWork: prefillWork(readTokens, relativeTokenTime),
+      uncachedWork: prefillWork(readAnywhere, relativeTokenTime),
+      failures: state.failures.length,
+    };
+  };
   return chooseByLevel(
     upstreams,
     describeWork,
     computePenalties(exchange, comparison.service, upstreams),
-    expectWork(node, service, comparison.keys.at(-2) ?? ''),
+    expectWork(node, service, keys.at(-2) ?? ''),
     nextDraw(node, service, model),
   );
 }
--- a/apps/router/src/entry/placing.ts
+++ b/apps/router/src/entry/placing.ts
@@ -23,7 +23,7 @@
 export interface Placing {
   /** Work sent, by service. */
   readonly work: Arrivals;
-  /** Requests sent, by cache key of the shared part of their prompts. */
+  /** Requests sent, by cache key of the shared segments with which they begin. */
   readonly prompts: Arrivals;
   readonly positions: SpreadPositions;
 }
@@ -45,9 +45,27 @@
   recordArrival(node.placing.work, service, work, node.clock());
 }
 
-/** Records that a request with a shared prompt was sent. */
-export function recordPromptSent(node: EntryNode, sharedKey: string): void {
-  recordArrival(node.placing.prompts, sharedKey, 1, node.clock());
+/** Records that a request was sent whose prompt begins with shared segments. */
+export function recordPromptSent(
+  node: EntryNode,
+  sharedKeys: readonly string[],
+): void {
+  for (const key of sharedKeys)
+    recordArrival(node.placing.prompts, key, 1, node.clock());
+}
+
+/** Requests that all nodes send in some time with prompts that begin like this. */
+export function expectSamePrompts(
+  node: EntryNode,
+  sharedKey: string,
+  durationMs: number,
+  /** Requests of this node that may be chance and are left out. */
+  chance = 0,
+): number {
+  const {prompts} = node.placing;
+  const now = node.clock();
+  const own = expectArrivals(prompts, sharedKey, now, durationMs, chance);
+  return own * Math.max(1, node.members.size);
 }
 
 /** Nodes of the own failure domain, all nodes, and this one's place among them. */
@@ -80,15 +98,14 @@
   service: string,
   sharedKey: string,
 ): Expectation {
-  const {work, prompts} = node.placing;
-  const now = node.clock();
+  const {work} = node.placing;
   const durationMs = horizonMs(node);
-  const {own, others, all} = countNodes(node);
-  const workPerNode = expectArrivals(work, service, now, durationMs);
+  const {own, others} = countNodes(node);
+  const workPerNode = expectArrivals(work, service, node.clock(), durationMs);
   return {
     ownDomainWork: workPerNode * own,
     otherDomainWork: workPerNode * others,
-    samePromptCount: expectArrivals(prompts, sharedKey, now, durationMs) * all,
+    samePromptCount: expectSamePrompts(node, sharedKey, durationMs),
   };
 }
 
--- a/apps/router/src/entry/upstream-records.ts
+++ b/apps/router/src/entry/upstream-records.ts
@@ -63,8 +63,7 @@
   consumeShare(node, state);
   state.sentSinceReport += 1;
   const keys = promptSegmentKeys(model, exchange.caller.promptSegments);
-  const sharedKey = keys.at(-2);
-  if (sharedKey !== undefined) recordPromptSent(node, sharedKey);
+  recordPromptSent(node, keys.slice(0, -1));
   for (const key of keys) {
     // Re-insertion keeps the map in order of use, so the oldest are evicted first.
     state.promptSegmentSentAt.delete(key);
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -10,7 +10,10 @@
   type EntryNode,
   type UpstreamState,
 } from '@parsleyarch/router/entry/node';
-import {recordWorkSent} from '@parsleyarch/router/entry/placing';
+import {
+  recordPromptSent,
+  recordWorkSent,
+} from '@parsleyarch/router/entry/placing';
 import {selectUpstream} from '@parsleyarch/router/entry/selection';
 import {recordFailure} from '@parsleyarch/router/entry/upstream-records';
 import {hashName} from '@parsleyarch/policy/rendezvous';
@@ -190,3 +193,19 @@
   node.members.clear();
   t.is(findWorkAhead(node, createExchange()), 0);
 });
+
+test('a request adds less work where every engine has the beginning of its prompt', async t => {
+  const {node} = await createNode(t, 4);
+  bringSums(node, {});
+  const segments = ['common', 'own'].map(id => ({id, tokens: 1_000}));
+  const exchange = createExchange();
+  Object.assign(exchange.caller, {
+    promptSegments: segments,
+    promptTokens: 2_000,
+  });
+  const before = selectUpstream(node, exchange)!.addedWork;
+  for (let sent = 0; sent < 20; sent += 1) recordPromptSent(node, ['/common']);
+  const after = selectUpstream(node, exchange)!.addedWork;
+  t.true(after < before - 0.1);
+  t.true(after > 1);
+});
--- a/packages/policy/src/arrivals.ts
+++ b/packages/policy/src/arrivals.ts
@@ -45,7 +45,11 @@
   key: string,
   now: number,
   durationMs: number,
+  /** Amount of the last seconds that may be chance and is left out. */
+  chance = 0,
 ): number {
   const known = arrivals.get(key);
-  return known ? (decay(known, now) / AVERAGING_MS) * durationMs : 0;
+  if (!known) return 0;
+  const certain = Math.max(0, decay(known, now) - chance);
+  return (certain / AVERAGING_MS) * durationMs;
 }
--- a/packages/policy/src/prompt-affinity.ts
+++ b/packages/policy/src/prompt-affinity.ts
@@ -23,3 +23,25 @@
   );
   return new Map(first.map((engine, rank) => [engine, CACHED_CHANCES[rank]]));
 }
+
+/**
+ * Tokens of a prompt that any engine is likely to have cached, as other prompts begin with
+ * the same segments. An engine caches a segment only together with all before it.
+ */
+export function expectCommonTokens(
+  segments: readonly {
+    readonly tokens: number;
+    /** Requests whose prompts begin like this, at all engines, within the time of a cache. */
+    readonly requestCount: number;
+  }[],
+  engineCount: number,
+): number {
+  let common = 0;
+  let chance = 1;
+  for (const {tokens, requestCount} of segments) {
+    const isCachedChance = 1 - Math.exp(-requestCount / engineCount);
+    chance = Math.min(chance, isCachedChance);
+    common += tokens * chance;
+  }
+  return common;
+}
--- a/packages/policy/test/prompt-affinity.test.ts
+++ b/packages/policy/test/prompt-affinity.test.ts
@@ -1,5 +1,8 @@
 /** Tests of the placement of requests that share a prompt, without a network. */
-import {expectCached} from '@parsleyarch/policy/prompt-affinity';
+import {
+  expectCached,
+  expectCommonTokens,
+} from '@parsleyarch/policy/prompt-affinity';
 import {hashName, type RendezvousMember} from '@parsleyarch/policy/rendezvous';
 import {chooseCandidate} from '@parsleyarch/policy/upstream-choice';
 import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
@@ -122,3 +125,13 @@
     t.true(relativeTime(cost) > cost);
   }
 });
+
+test('segments that all engines get often are expected everywhere, those after a rare one nowhere', t => {
+  const often = {tokens: 2_000, requestCount: 600};
+  const rare = {tokens: 3_000, requestCount: 1};
+  t.true(expectCommonTokens([often], 60) > 1_900);
+  const tokens = expectCommonTokens([often, rare], 60);
+  t.true(tokens > 1_900 && tokens < 2_200);
+  t.true(expectCommonTokens([rare, often], 60) < 150);
+  t.is(expectCommonTokens([], 60), 0);
+});
