Report no answers of upstreams that have not answered

Cause: the time of the last answer begins at 0, the start of the process, so that a node said for its first ten seconds that every upstream had answered then.

Measured: the test fails without the change.

--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -183,7 +183,8 @@
     const known = node.load.paces.get(registered.id);
     const pace = known ? decayPace(known, now) : {sum: 0, weight: 0};
     const answeredAgoMs = Math.max(1, now - state.lastAnswerAt);
-    const isAnswering = answeredAgoMs < ANSWER_MEMORY_MS;
+    const isAnswering =
+      state.lastAnswerAt > 0 && answeredAgoMs < ANSWER_MEMORY_MS;
     const hasPace = pace.weight > MIN_PACE_WEIGHT;
     if (pending <= 0 && streaming === 0 && !isAnswering && !hasPace) continue;
     loads.push({
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -6,6 +6,7 @@
 import {
   applySums,
   lastAnswerOf,
+  listLocalLoads,
   recordReportedLoad,
   timeFactorOf,
 } from '@parsleyarch/router/entry/load';
@@ -283,3 +284,12 @@
   const [busiest] = (await node.metrics.busiestOverMean.get()).values;
   t.is(busiest.value, 2);
 });
+
+test('a node that has started reports no answers that it has not got', async t => {
+  const [node] = await createNodes(t, 1);
+  const state = register(node, 'i-1');
+  t.deepEqual(listLocalLoads(node), []);
+  state.lastAnswerAt = node.clock();
+  const [load] = listLocalLoads(node);
+  t.true(load.answeredAgoMs! >= 1 && load.answeredAgoMs! < 1_000);
+});
