--- a/apps/router/test/entry/pressure.test.ts
+++ b/apps/router/test/entry/pressure.test.ts
@@ -155,3 +155,24 @@
       t.is(node.members.get(name)?.cores, undefined);
   },
 );
+
+test.serial('nodes hear of each other that they are withdrawn', async t => {
+  const site = await startSite(1);
+  t.teardown(() => closeSite(site));
+  configure(site, [route()]);
+  const nodes = [await startNode(site), await startNode(site)];
+  const [first, second] = nodes.map(({node}) => node);
+  for (const [node, other] of [
+    [first, second],
+    [second, first],
+  ]) {
+    node.pressure.withdrawal.withdrawnAt = node.clock();
+    await until(() =>
+      other.load.cutOff.some(
+        ({node: name, isWithdrawn}) =>
+          name === node.settings.node && isWithdrawn === true,
+      ),
+    );
+  }
+  t.pass();
+});
