Close connections that send too much header without ending it

Cause: the parser accepts 128 KB of header on each connection, whatever the configuration says, so that 1,500 clients took 207 and 209 MB of a machine of 202 MB and 2,069 descriptors (861 of them open).

--- a/apps/router/src/entry/connections.ts
+++ b/apps/router/src/entry/connections.ts
@@ -7,9 +7,10 @@
 import type {Socket} from 'node:net';
 import {LimitKind, recordLimit} from './limit-uses.js';
 import type {EntryNode} from './node.js';
+import {createHeaderCheck} from './unfinished-headers.js';
 
 /** One open connection. */
-interface Connection {
+export interface Connection {
   readonly socket: Socket;
   /** Answers that are not finished. */
   readonly pending: Set<ServerResponse>;
@@ -17,13 +18,14 @@
   readonly onClose: Set<() => void>;
   /** When it was opened, or its latest request or answer began or ended. */
   since: number;
-  /** Bytes received up to the end of the latest request. */
+  /** Bytes received up to the end of the latest complete request. */
   bytesBefore: number;
 }
 
 export type Connections = Map<Socket, Connection>;
 
-type ConnectionNode = Pick<
+/** What the connections need of a node. */
+export type ConnectionNode = Pick<
   EntryNode,
   | 'clock'
   | 'connections'
@@ -31,6 +33,7 @@
   | 'limitUses'
   | 'logDecision'
   | 'metrics'
+  | 'routes'
   | 'settings'
 >;
 
@@ -70,6 +73,7 @@
 
 /** Bounds the connections of a listener. */
 export function trackConnections(node: ConnectionNode, server: Server): void {
+  const checkHeaders = createHeaderCheck(node);
   server.on('connection', socket => {
     makeRoom(node, socket);
     if (socket.destroyed) return;
@@ -81,6 +85,7 @@
       bytesBefore: 0,
     };
     node.connections.set(socket, connection);
+    checkHeaders();
     socket.once('close', () => {
       node.connections.delete(socket);
       for (const callback of [...connection.onClose]) callback();
@@ -127,10 +132,12 @@
   }
   pending.add(response);
   connection.since = node.clock();
+  const noteEnd = () => (connection.bytesBefore = socket.bytesRead);
+  response.req.once('end', noteEnd);
   onceClosed(node, response, () => {
     pending.delete(response);
     connection.since = node.clock();
-    connection.bytesBefore = socket.bytesRead;
+    noteEnd();
   });
   return true;
 }
--- a/apps/router/src/entry/limit-uses.ts
+++ b/apps/router/src/entry/limit-uses.ts
@@ -7,6 +7,8 @@
   heldBytes: 'held-bytes',
   /** The size of a request body. */
   bodyBytes: 'body-bytes',
+  /** The size of a header that is not complete. */
+  headerBytes: 'header-bytes',
   /** Open connections. */
   connections: 'connections',
   /** Requests being served. */
--- a/apps/router/test/alone/outside-limits.test.ts
+++ b/apps/router/test/alone/outside-limits.test.ts
@@ -39,8 +39,9 @@
 async function startSmall(
   t: ExecutionContext,
   limits: Record<string, unknown> = {},
+  machine = MACHINE,
 ): Promise<{site: Site; node: NodeProcess}> {
-  const started = await startProcess(t, MACHINE);
+  const started = await startProcess(t, machine);
   const routes = [
     route({timeout_ms: 60_000}),
     route({name: 's', path_prefix: '/s/', kind: 'stream', timeout_ms: 60_000}),
@@ -108,6 +109,19 @@
   await checkNode(t, node);
 });
 
+test.serial('large headers that do not end', async t => {
+  const {node} = await startSmall(
+    t,
+    {},
+    {memoryMb: 202, maxDescriptors: 2_069},
+  );
+  await openCrowd(t, node.settings.callers, 1_500, () => ({
+    head: `POST /a/x HTTP/1.1\r\nx: ${'x'.repeat(120 * KB)}`,
+    trickle: true,
+  }));
+  await checkNode(t, node);
+});
+
 test.serial('answers that nobody reads', async t => {
   const {site, node} = await startSmall(t);
   const large = Buffer.alloc(4 * MB - KB, 'x');
