--- a/apps/router/test/alone/crowd.ts
+++ b/apps/router/test/alone/crowd.ts
@@ -4,6 +4,7 @@
 import type {ExecutionContext} from 'ava';
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
+  existsSync,
   mkdtempSync,
   openSync,
   readdirSync,
@@ -44,9 +45,11 @@
 /** A node in a process of its own, and what it took at its peak. */
 export interface NodeProcess {
   readonly settings: EntrySettings;
-  readonly child: ChildProcess;
+  child: ChildProcess;
   /** Largest number of open descriptors that was seen. */
   maxDescriptors: number;
+  /** Starts it again once it has ended. */
+  readonly restart: () => void;
 }
 
 function isAlive({child}: NodeProcess): boolean {
@@ -55,42 +58,60 @@
 
 function countDescriptors(node: NodeProcess): void {
   if (!isAlive(node)) return;
-  const {length} = readdirSync(`/proc/${node.child.pid}/fd`);
+  const folder = `/proc/${node.child.pid}/fd`;
+  // A process that ends has no such folder before its exit is known here.
+  const length = existsSync(folder) ? readdirSync(folder).length : 0;
   node.maxDescriptors = Math.max(node.maxDescriptors, length);
 }
 
-/** Starts a site of one node in a process of its own; the test's end stops them. */
-export async function startProcess(
+/** Starts a node of a site in a process of its own; the test's end stops it. */
+export async function startNodeProcess(
   t: ExecutionContext,
+  site: Site,
+  name: string,
   machine: EntrySettings['machine'],
-): Promise<{site: Site; node: NodeProcess}> {
-  const site = await startSite(2);
-  const settings = await settingsFor(site.store, 'node-1', {machine});
+): Promise<NodeProcess> {
+  const settings = await settingsFor(site.store, name, {machine});
   const folder = mkdtempSync(join(tmpdir(), 'outside-limits-'));
   const file = join(folder, 'settings.jsonc');
   writeFileSync(file, JSON.stringify({...settings, logLevel: 'info'}));
   const log = openSync(join(folder, 'log'), 'a');
-  const child = spawn(
-    process.execPath,
-    [
-      `--max-old-space-size=${OLD_SPACE_MB}`,
-      ROUTER_BUNDLE,
-      'route',
-      '--settings',
-      file,
-    ],
-    {stdio: ['ignore', log, log]},
-  );
-  const node: NodeProcess = {settings, child, maxDescriptors: 0};
+  const start = () =>
+    spawn(
+      process.execPath,
+      [
+        `--max-old-space-size=${OLD_SPACE_MB}`,
+        ROUTER_BUNDLE,
+        'route',
+        '--settings',
+        file,
+      ],
+      {stdio: ['ignore', log, log]},
+    );
+  const node: NodeProcess = {
+    settings,
+    child: start(),
+    maxDescriptors: 0,
+    restart: () => void (node.child = start()),
+  };
   const timer = setInterval(() => countDescriptors(node), COUNT_MS);
-  t.teardown(async () => {
+  t.teardown(() => {
     clearInterval(timer);
-    child.kill('SIGKILL');
-    await closeSite(site);
+    node.child.kill('SIGKILL');
     if (t.passed) rmSync(folder, {recursive: true, force: true});
     else t.log(`log of the node: ${folder}`);
   });
-  return {site, node};
+  return node;
+}
+
+/** Starts a site of one node in a process of its own; the test's end stops them. */
+export async function startProcess(
+  t: ExecutionContext,
+  machine: EntrySettings['machine'],
+): Promise<{site: Site; node: NodeProcess}> {
+  const site = await startSite(2);
+  t.teardown(() => closeSite(site));
+  return {site, node: await startNodeProcess(t, site, 'node-1', machine)};
 }
 
 /** Sends an ordinary request as callers do that retry what was refused. */
@@ -105,21 +126,26 @@
   }
 }
 
+/** Checks that the process lives within its machine. */
+export function checkProcess(t: ExecutionContext, node: NodeProcess): void {
+  const {memoryMb = 0, maxDescriptors = 0} = node.settings.machine;
+  t.true(isAlive(node));
+  countDescriptors(node);
+  const status = readFileSync(`/proc/${node.child.pid}/status`, 'utf8');
+  const peakMb = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) / KB;
+  t.log(`${peakMb.toFixed(0)} MB, ${node.maxDescriptors} descriptors at most`);
+  t.true(peakMb < memoryMb);
+  t.true(node.maxDescriptors < maxDescriptors);
+}
+
 /** Checks what must hold whatever clients send. */
 export async function checkNode(
   t: ExecutionContext,
   node: NodeProcess,
 ): Promise<void> {
-  const {child, settings} = node;
-  const {memoryMb = 0, maxDescriptors = 0} = settings.machine;
   countDescriptors(node);
-  const answer = await sendOrdinary(settings.callers, 'ordinary');
-  t.true(isAlive(node));
-  const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
-  const peakMb = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) / KB;
-  t.log(`${peakMb.toFixed(0)} MB, ${node.maxDescriptors} descriptors at most`);
-  t.true(peakMb < memoryMb);
-  t.true(node.maxDescriptors < maxDescriptors);
+  const answer = await sendOrdinary(node.settings.callers, 'ordinary');
+  checkProcess(t, node);
   t.is(answer.status, 200);
 }
 
@@ -173,19 +199,25 @@
 
 /**
  * Opens connections from several loopback addresses and plays a script on each;
- * resolves once all have sent what they have, and leaves them open.
+ * resolves once all have sent what they have, and leaves them open until the returned
+ * function is called or the test ends.
  */
 export async function openCrowd(
   t: ExecutionContext,
   address: string,
   size: number,
   scriptFor: (index: number) => Script,
-): Promise<void> {
+): Promise<() => void> {
   const [host, port] = address.split(':');
+  const sockets: net.Socket[] = [];
+  const close = () => {
+    for (const socket of sockets) socket.destroy();
+  };
+  t.teardown(close);
   const members = Array.from({length: size}, (_member, index) => {
     const localAddress = `127.0.0.${2 + (index % 8)}`;
     const socket = net.connect({host, port: Number(port), localAddress});
-    t.teardown(() => socket.destroy());
+    sockets.push(socket);
     socket.on('error', () => {});
     const script = scriptFor(index);
     if (script.reads ?? true) socket.resume();
@@ -193,4 +225,5 @@
   });
   await Promise.race([Promise.all(members), wait(SETTLE_MS)]);
   await wait(READ_MS);
+  return close;
 }
