Expect prompts to be cached only as far as they recur

Change: nodes count how often they themselves get a shared part again, retries left out, and add up the counts over all nodes by service and model, with the exchange of load. From these follows how likely any node has sent it before. Where this node has sent it, or as long as little is known, it is expected as before.

Measured: the tests of prompt reuse, selection and load.

--- a/apps/router/src/entry/candidates.ts
+++ b/apps/router/src/entry/candidates.ts
@@ -8,8 +8,9 @@
 import {prefillWork, relativeTime} from '@parsleyarch/policy/work';
 import type {PooledService} from '@parsleyarch/resource/routing';
 import type {Exchange} from './exchange.js';
-import {timeFactorOf, workAt} from './load.js';
+import {choosesByLevel, timeFactorOf, workAt} from './load.js';
 import type {EntryNode, UpstreamState} from './node.js';
+import {expectPromptReuse} from './placing.js';
 import {
   countCachedTokens,
   countSharedTokens,
@@ -54,6 +55,8 @@
   readonly sharedTokens: number;
   /** Upstreams at which the shared part is expected, with its probability. */
   readonly cachedChances: ReadonlyMap<UpstreamState, number>;
+  /** Probability that the shared part was sent anywhere a short time before. */
+  readonly reuseChance: number;
   readonly relativeTokenTime: number;
 }
 
@@ -65,15 +68,17 @@
 ): Comparison {
   const service = node.routes?.table.services.get(exchange.service);
   const keys = promptSegmentKeys(model, exchange.caller.promptSegments);
+  const sharedKey = keys.at(-2) ?? '';
   const sharedTokens = countSharedTokens(exchange);
   return {
     service,
     keys,
     sharedTokens,
     cachedChances:
-      sharedTokens > 0
-        ? expectCached(hashName(keys.at(-2) ?? ''), usable)
-        : new Map(),
+      sharedTokens > 0 ? expectCached(hashName(sharedKey), usable) : new Map(),
+    reuseChance: choosesByLevel(node)
+      ? expectPromptReuse(node, `${exchange.service}/${model}`, sharedKey)
+      : 1,
     relativeTokenTime: relativeTimeOf(service, exchange, model),
   };
 }
@@ -83,11 +88,12 @@
   node: EntryNode,
   exchange: Exchange,
   state: UpstreamState,
-  {keys, sharedTokens, cachedChances}: Comparison,
+  {keys, sharedTokens, cachedChances, reuseChance}: Comparison,
 ): number {
+  const chance = (cachedChances.get(state) ?? 0) * reuseChance;
   const cachedTokens = Math.max(
     countCachedTokens(node, state, exchange, keys),
-    sharedTokens * (cachedChances.get(state) ?? 0),
+    sharedTokens * chance,
   );
   return Math.max(0, exchange.caller.promptTokens - cachedTokens);
 }
--- a/apps/router/src/entry/load-exchange.ts
+++ b/apps/router/src/entry/load-exchange.ts
@@ -22,12 +22,15 @@
   listGroupCutOff,
   groupAgeMs,
   sumGroup,
+  sumGroupReuse,
   sumOthers,
+  sumOthersReuse,
   sumsAgeMs,
 } from './load-sums.js';
 import {applyConfirmation, leaveSource} from './sources.js';
 import type {EntryNode} from './node.js';
 import {listLeaving, recordLeaving} from './notices.js';
+import {listPromptReuse} from './placing.js';
 import {reportCutOff} from './reachability.js';
 import {listStatements, recordRelayedStatements} from './statements.js';
 
@@ -46,6 +49,7 @@
     statements,
     cutOff,
     ageMs = 0,
+    promptReuse = [],
     ...crashes
   }: LoadReport,
 ): LoadSummary {
@@ -53,7 +57,7 @@
   recordRelayedStatements(node, statements);
   mergeCrashes(node, crashes);
   const {reports, groups} = node.load;
-  const report = {at: node.clock(), loads, cutOff, ageMs};
+  const report = {at: node.clock(), loads, cutOff, ageMs, promptReuse};
   if (!isGroup) reports.set(name, report);
   else groups.set(name, report);
   // Another collector lacks only this group; a node lacks all but its own load.
@@ -64,6 +68,7 @@
     statements: listStatements(node),
     cutOff: isGroup ? listGroupCutOff(node) : listCutOff(node),
     ageMs: isGroup ? groupAgeMs(node) : sumsAgeMs(node),
+    promptReuse: isGroup ? sumGroupReuse(node) : sumOthersReuse(node, name),
     ...reportCrashes(node, crashes.crashDigest),
     ...reportConfirmation(node),
   };
@@ -77,7 +82,10 @@
 async function sendReport(
   node: EntryNode,
   collector: string,
-  load: Pick<LoadReport, 'node' | 'loads' | 'isGroup' | 'cutOff' | 'ageMs'>,
+  load: Pick<
+    LoadReport,
+    'node' | 'loads' | 'isGroup' | 'cutOff' | 'ageMs' | 'promptReuse'
+  >,
 ): Promise<LoadSummary | undefined> {
   const address = node.members.get(collector)?.address;
   const {client} = node.peers;
@@ -125,12 +133,13 @@
     isGroup: true,
     cutOff: listGroupCutOff(node),
     ageMs: groupAgeMs(node),
+    promptReuse: sumGroupReuse(node),
   };
   const summary = await sendReport(node, collector, report);
   if (!summary) return;
-  const {loads, cutOff, ageMs = 0} = summary;
+  const {loads, cutOff, ageMs = 0, promptReuse = []} = summary;
   const at = node.clock();
-  node.load.groups.set(collector, {at, loads, cutOff, ageMs});
+  node.load.groups.set(collector, {at, loads, cutOff, ageMs, promptReuse});
 }
 
 /** As a collector, adds this node's load and exchanges sums with the others. */
@@ -141,7 +150,13 @@
   const name = node.settings.node;
   const loads = listLocalLoads(node);
   const cutOff = reportCutOff(node);
-  node.load.reports.set(name, {at: node.clock(), loads, cutOff, ageMs: 0});
+  node.load.reports.set(name, {
+    at: node.clock(),
+    loads,
+    cutOff,
+    ageMs: 0,
+    promptReuse: listPromptReuse(node),
+  });
   // One call serves both directions, so the first of two by name makes it.
   const called = collectors.filter(
     other => other > name && !isSkipped(node, other),
@@ -152,6 +167,7 @@
     loads: sumOthers(node, name),
     cutOff: listCutOff(node),
     ageMs: sumsAgeMs(node),
+    promptReuse: sumOthersReuse(node, name),
   });
   recordEvenness(node);
 }
@@ -168,7 +184,8 @@
   if (collector === undefined) return;
   const loads = listLocalLoads(node);
   const cutOff = reportCutOff(node);
-  const report = {node: name, loads, isGroup: false, cutOff};
+  const promptReuse = listPromptReuse(node);
+  const report = {node: name, loads, isGroup: false, cutOff, promptReuse};
   const summary = await sendReport(node, collector, report);
   if (!summary) return;
   applySums(node, summary);
--- a/apps/router/src/entry/load-sums.ts
+++ b/apps/router/src/entry/load-sums.ts
@@ -1,6 +1,11 @@
 /** Sums of the load that nodes have reported to this one as their collector. */
-import type {CutOffNode, UpstreamLoad} from '@parsleyarch/peer/messages';
+import type {
+  CutOffNode,
+  ScopedReuse,
+  UpstreamLoad,
+} from '@parsleyarch/peer/messages';
 import {decayPace} from '@parsleyarch/policy/pace';
+import {addReuse} from '@parsleyarch/policy/prompt-reuse';
 import type {EntryNode} from './node.js';
 
 /** Age above which reported load is ignored, milliseconds. */
@@ -15,6 +20,7 @@
   readonly cutOff: readonly CutOffNode[];
   /** Mean age of what is reported at that time, milliseconds. */
   readonly ageMs: number;
+  readonly promptReuse: readonly ScopedReuse[];
 }
 
 function dropOldReports(node: EntryNode): void {
@@ -45,6 +51,35 @@
   return [...sums.values()];
 }
 
+/** Counts of prompts of the nodes that report to this one, except for one of them. */
+export function sumGroupReuse(node: EntryNode, except?: string): ScopedReuse[] {
+  const sums = new Map<string, ScopedReuse>();
+  for (const [name, {promptReuse}] of node.load.reports) {
+    if (name !== except) addScopes(sums, promptReuse);
+  }
+  return [...sums.values()];
+}
+
+/** The same of all nodes except for one that reports to this one. */
+export function sumOthersReuse(node: EntryNode, except: string): ScopedReuse[] {
+  const sums = new Map<string, ScopedReuse>();
+  addScopes(sums, sumGroupReuse(node, except));
+  for (const {promptReuse} of node.load.groups.values())
+    addScopes(sums, promptReuse);
+  return [...sums.values()];
+}
+
+function addScopes(
+  sums: Map<string, ScopedReuse>,
+  counts: readonly ScopedReuse[],
+): void {
+  for (const count of counts) {
+    const {scope} = count;
+    const known = sums.get(scope) ?? {sent: 0, repeated: 0};
+    sums.set(scope, {scope, ...addReuse(known, count)});
+  }
+}
+
 function mean(values: readonly number[]): number {
   if (values.length === 0) return 0;
   return values.reduce((sum, value) => sum + value, 0) / values.length;
--- a/apps/router/src/entry/load.ts
+++ b/apps/router/src/entry/load.ts
@@ -6,6 +6,7 @@
 import type {
   CutOffNode,
   LoadSummary,
+  ScopedReuse,
   UpstreamLoad,
 } from '@parsleyarch/peer/messages';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
@@ -40,6 +41,8 @@
   receivedAt: number;
   /** Mean age of the reports in the sums at that time; 0 if it is not known. */
   sumsAgeMs: number;
+  /** Counts of the prompts of the other nodes, by service and model. */
+  othersReuse: readonly ScopedReuse[];
   /** How long work takes at upstreams, by answers to this node. */
   readonly paces: Map<string, PaceHistory>;
   /** When load fields that cannot be read were last logged, by upstream. */
@@ -58,6 +61,7 @@
     cutOff: [],
     receivedAt: -Infinity,
     sumsAgeMs: 0,
+    othersReuse: [],
     paces: new Map(),
     unreadableAt: new Map(),
     reports: new Map(),
@@ -203,11 +207,17 @@
 /** Keeps the sums over the other nodes. */
 export function applySums(
   node: EntryNode,
-  {loads, cutOff, ageMs}: Pick<LoadSummary, 'loads' | 'cutOff' | 'ageMs'>,
+  {
+    loads,
+    cutOff,
+    ageMs,
+    promptReuse = [],
+  }: Pick<LoadSummary, 'loads' | 'cutOff' | 'ageMs' | 'promptReuse'>,
 ): void {
   node.load.others = new Map(loads.map(load => [load.upstream, load]));
   node.load.cutOff = cutOff;
   node.load.sumsAgeMs = ageMs ?? 0;
+  node.load.othersReuse = promptReuse;
   node.load.receivedAt = node.clock();
 }
 
--- a/apps/router/src/entry/placing.ts
+++ b/apps/router/src/entry/placing.ts
@@ -3,12 +3,21 @@
  * sends to each service, how often requests with the same shared prompt come, and how
  * far it is in the sequence of its draws.
  */
+import type {ScopedReuse} from '@parsleyarch/peer/messages';
 import {
+  countRecent,
   expectArrivals,
   recordArrival,
   type Arrivals,
 } from '@parsleyarch/policy/arrivals';
 import {shareIntervalMs} from '@parsleyarch/policy/load-sharing';
+import {
+  addReuse,
+  decayReuse,
+  expectReuse,
+  recordReuse,
+  type TimedReuse,
+} from '@parsleyarch/policy/prompt-reuse';
 import {
   createSpreadPositions,
   nextPosition,
@@ -17,6 +26,8 @@
 import type {Draw, Expectation} from '@parsleyarch/policy/stale-load';
 import type {EntryNode} from './node.js';
 
+/** Requests with one prompt in some seconds from which on it counts as frequent. */
+const FREQUENT_COUNT = 1.5;
 /** Period of the draws by the time of day, which is nearly the same on all nodes. */
 const DRAW_PERIOD_MS = 500;
 
@@ -25,6 +36,8 @@
   readonly work: Arrivals;
   /** Requests sent, by cache key of the shared segments with which they begin. */
   readonly prompts: Arrivals;
+  /** How often shared parts of prompts come again, by service and model. */
+  readonly reuse: Map<string, TimedReuse>;
   readonly positions: SpreadPositions;
 }
 
@@ -32,6 +45,7 @@
   return {
     work: new Map(),
     prompts: new Map(),
+    reuse: new Map(),
     positions: createSpreadPositions(),
   };
 }
@@ -48,10 +62,47 @@
 /** Records that a request was sent whose prompt begins with shared segments. */
 export function recordPromptSent(
   node: EntryNode,
+  /** Service and model. */
+  scope: string,
   sharedKeys: readonly string[],
 ): void {
-  for (const key of sharedKeys)
-    recordArrival(node.placing.prompts, key, 1, node.clock());
+  const {prompts, reuse} = node.placing;
+  const now = node.clock();
+  const key = sharedKeys.at(-1);
+  if (key !== undefined) {
+    const earlier = countRecent(prompts, key, now);
+    // Prompts that this node gets often say nothing of the others.
+    if (earlier < FREQUENT_COUNT)
+      reuse.set(scope, recordReuse(reuse.get(scope), earlier > 0, now));
+  }
+  for (const shared of sharedKeys) recordArrival(prompts, shared, 1, now);
+}
+
+/** Counts of the prompts of this node, for other nodes. */
+export function listPromptReuse(node: EntryNode): ScopedReuse[] {
+  const now = node.clock();
+  return [...node.placing.reuse].map(([scope, known]) => {
+    const {sent, repeated} = decayReuse(known, now);
+    return {scope, sent, repeated};
+  });
+}
+
+/** Probability that any node has sent the shared part of a prompt a short time before. */
+export function expectPromptReuse(
+  node: EntryNode,
+  scope: string,
+  sharedKey: string,
+): number {
+  const {prompts, reuse} = node.placing;
+  const now = node.clock();
+  if (countRecent(prompts, sharedKey, now) > 0) return 1;
+  const known = reuse.get(scope);
+  const own = known ? decayReuse(known, now) : {sent: 0, repeated: 0};
+  const others = node.load.othersReuse.find(count => count.scope === scope);
+  return expectReuse(
+    others ? addReuse(own, others) : own,
+    Math.max(1, node.members.size),
+  );
 }
 
 /** Requests that all nodes send in some time with prompts that begin like this. */
--- a/apps/router/src/entry/selection.ts
+++ b/apps/router/src/entry/selection.ts
@@ -92,6 +92,10 @@
     reason,
     ahead: roundWork(workAhead),
     level: roundWork(level),
+    reuse:
+      comparison.sharedTokens > 0
+        ? roundWork(comparison.reuseChance)
+        : undefined,
     newsAgeMs: Math.round(newsAgeMs(node)),
     model,
   });
--- a/apps/router/src/entry/upstream-records.ts
+++ b/apps/router/src/entry/upstream-records.ts
@@ -63,7 +63,9 @@
   consumeShare(node, state);
   state.sentSinceReport += 1;
   const keys = promptSegmentKeys(model, exchange.caller.promptSegments);
-  recordPromptSent(node, keys.slice(0, -1));
+  // A retry is no sign that a prompt comes again.
+  if (exchange.triedUpstreams.size <= 1)
+    recordPromptSent(node, `${exchange.service}/${model}`, keys.slice(0, -1));
   for (const key of keys) {
     // Re-insertion keeps the map in order of use, so the oldest are evicted first.
     state.promptSegmentSentAt.delete(key);
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -293,3 +293,23 @@
   const [load] = listLocalLoads(node);
   t.true(load.answeredAgoMs! >= 1 && load.answeredAgoMs! < 1_000);
 });
+
+test('counts of prompts that recur are added up over the other nodes and groups', async t => {
+  const [collector] = await createNodes(t, 1);
+  const reuse = (sent: number, repeated: number) => ({
+    promptReuse: [{scope: 's/m', sent, repeated}],
+  });
+  collectLoad(collector, {...report('a'), ...reuse(100, 1)});
+  collectLoad(collector, {...report('b'), ...reuse(200, 2)});
+  collectLoad(collector, {...report('g'), isGroup: true, ...reuse(400, 8)});
+  const {promptReuse} = collectLoad(collector, {
+    ...report('a'),
+    ...reuse(100, 1),
+  });
+  t.deepEqual(promptReuse, [{scope: 's/m', sent: 600, repeated: 10}]);
+  const {promptReuse: ofGroup} = collectLoad(collector, {
+    ...report('g'),
+    isGroup: true,
+  });
+  t.deepEqual(ofGroup, [{scope: 's/m', sent: 300, repeated: 3}]);
+});
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -11,11 +11,15 @@
   type UpstreamState,
 } from '@parsleyarch/router/entry/node';
 import {
+  listPromptReuse,
   recordPromptSent,
   recordWorkSent,
 } from '@parsleyarch/router/entry/placing';
 import {selectUpstream} from '@parsleyarch/router/entry/selection';
-import {recordFailure} from '@parsleyarch/router/entry/upstream-records';
+import {
+  recordFailure,
+  recordSend,
+} from '@parsleyarch/router/entry/upstream-records';
 import {hashName} from '@parsleyarch/policy/rendezvous';
 import {startKeyspace} from '@parsleyarch/standins/keyspace';
 import {createShareBucket} from '@parsleyarch/policy/shared-limit';
@@ -205,8 +209,44 @@
     promptTokens: 2_000,
   });
   const before = selectUpstream(node, exchange)!.addedWork;
-  for (let sent = 0; sent < 20; sent += 1) recordPromptSent(node, ['/common']);
+  for (let sent = 0; sent < 20; sent += 1)
+    recordPromptSent(node, 'api/', ['/common']);
   const after = selectUpstream(node, exchange)!.addedWork;
   t.true(after < before - 0.1);
   t.true(after > 1);
 });
+
+test('requests go to where their prompt may be cached only as far as prompts recur', async t => {
+  const {node} = await createNode(t, 20);
+  bringSums(node, {});
+  const exchange = createExchange();
+  const segments = ['shared', 'own'].map(id => ({id, tokens: 5_000}));
+  Object.assign(exchange.caller, {
+    promptSegments: segments,
+    promptTokens: 10_000,
+  });
+  const choose = () => {
+    const ids = new Set<string>();
+    for (let draw = 0; draw < 40; draw += 1)
+      ids.add(selectUpstream(node, exchange)!.upstream.registered.id);
+    return ids.size;
+  };
+  t.true(choose() <= 2);
+  const counts = {scope: 'api/', sent: 5_000};
+  node.load.othersReuse = [{...counts, repeated: 2_500}];
+  t.true(choose() <= 2);
+  node.load.othersReuse = [{...counts, repeated: 0}];
+  t.true(choose() > 10);
+});
+
+test('a retry does not count as a prompt that comes again', async t => {
+  const {node} = await createNode(t, 2);
+  const exchange = createExchange(['i-0']);
+  const segments = ['shared', 'own'].map(id => ({id, tokens: 5_000}));
+  Object.assign(exchange.caller, {promptSegments: segments});
+  recordSend(node, node.upstreams.get('i-0')!, exchange);
+  exchange.triedUpstreams.add('i-1');
+  recordSend(node, node.upstreams.get('i-1')!, exchange);
+  const [{sent, repeated}] = listPromptReuse(node);
+  t.deepEqual({sent, repeated}, {sent: 1, repeated: 0});
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -169,6 +169,13 @@
    */
   readonly answeredAgoMs?: number;
 }
+/** Requests with a shared part of a prompt, and those that repeat one of their node. */
+export interface ScopedReuse {
+  /** Service and model. */
+  readonly scope: string;
+  readonly sent: number;
+  readonly repeated: number;
+}
 /** An upstream that said in an answer that it is shutting down. */
 export interface LeavingUpstream {
   readonly upstream: string;
@@ -233,6 +240,7 @@
   readonly cutOff: readonly CutOffNode[];
   /** Mean age of the reports in the sum of a group, milliseconds. */
   readonly ageMs?: number;
+  readonly promptReuse?: readonly ScopedReuse[];
 }
 /** How current a node's knowledge of the store is. */
 export interface Confirmation {
@@ -256,6 +264,7 @@
   readonly loads: readonly UpstreamLoad[];
   /** Mean age of the reports in the sums, milliseconds; 0 or absent if not known. */
   readonly ageMs?: number;
+  readonly promptReuse?: readonly ScopedReuse[];
 }
 /** Requests the store's changes after a revision. */
 export interface ChangesAfter {
--- a/packages/policy/src/arrivals.ts
+++ b/packages/policy/src/arrivals.ts
@@ -39,6 +39,20 @@
   }
 }
 
+/** Amount below which an arrival is too old to count. */
+const MIN_RECENT_AMOUNT = 0.1;
+
+/** Amount sent in the last seconds; older ones count less, and the oldest not at all. */
+export function countRecent(
+  arrivals: Arrivals,
+  key: string,
+  now: number,
+): number {
+  const known = arrivals.get(key);
+  const amount = known ? decay(known, now) : 0;
+  return amount < MIN_RECENT_AMOUNT ? 0 : amount;
+}
+
 /** Amount that this node is expected to send in some time. */
 export function expectArrivals(
   arrivals: Arrivals,
