Compute the metrics of even load when they are read

Cause: they were computed with each arrival of sums, 149 microseconds for 46 upstreams (beside load 13 on 7 cores), whether anybody reads them or not.

Measured: the tests of load, one of them through the metrics listener.

--- a/apps/router/src/entry/ingress.ts
+++ b/apps/router/src/entry/ingress.ts
@@ -10,6 +10,7 @@
 import {admitRequest, onceClosed, trackConnections} from './connections.js';
 import {createExchange, RETRY_AFTER_MS, type Exchange} from './exchange.js';
 import {LimitKind, recordLimit} from './limit-uses.js';
+import {recordEvenness} from './load-metrics.js';
 import {confirmationAge, isReady} from './freshness.js';
 import {awaitFirstConfiguration} from './first-configuration.js';
 import type {EntryNode} from './node.js';
@@ -273,6 +274,7 @@
 export function createMetricsListener(node: EntryNode): http.Server {
   return createProbedServer((_request, response) => {
     node.metrics.heldBytes.set(heldBytes(node));
+    recordEvenness(node);
     node.metrics.registry.metrics().then(
       text => {
         response.writeHead(200, {
--- a/apps/router/src/entry/load-exchange.ts
+++ b/apps/router/src/entry/load-exchange.ts
@@ -16,7 +16,6 @@
 import {reportConfirmation} from './feed.js';
 import {recordPeerAnswer} from './following.js';
 import {applySums, listLocalLoads} from './load.js';
-import {recordEvenness} from './load-metrics.js';
 import {
   listCutOff,
   listGroupCutOff,
@@ -169,7 +168,6 @@
     ageMs: sumsAgeMs(node),
     promptReuse: sumOthersReuse(node, name),
   });
-  recordEvenness(node);
 }
 
 async function shareOnce(node: EntryNode): Promise<void> {
@@ -189,7 +187,6 @@
   const summary = await sendReport(node, collector, report);
   if (!summary) return;
   applySums(node, summary);
-  recordEvenness(node);
 }
 
 /** Shares load until the node stops. */
--- a/apps/router/src/entry/load-metrics.ts
+++ b/apps/router/src/entry/load-metrics.ts
@@ -1,5 +1,5 @@
 /** Shows operators how even the load is, as this node sees it. */
-import {workAt} from './load.js';
+import {knowsOthers, workAt} from './load.js';
 import type {EntryNode} from './node.js';
 import {newsAgeMs} from './placing.js';
 
@@ -18,10 +18,10 @@
   return works;
 }
 
-/** Sets the metrics after new sums of the load have arrived. */
+/** Sets the metrics; called when they are read. */
 export function recordEvenness(node: EntryNode): void {
   const {busiestOverMean, loadAge} = node.metrics;
-  loadAge.set(newsAgeMs(node) / MS_PER_SECOND);
+  if (knowsOthers(node)) loadAge.set(newsAgeMs(node) / MS_PER_SECOND);
   for (const [service, works] of listWork(node)) {
     const mean = works.reduce((sum, work) => sum + work, 0) / works.length;
     const ratio = mean > 0 ? Math.max(...works) / mean : 1;
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -85,7 +85,7 @@
     }),
     loadAge: new Gauge({
       name: 'parsleyarch_entry_load_age_seconds',
-      help: 'Mean age of the load of other nodes when it arrived',
+      help: 'Mean age of what is known of the load of other nodes',
       registers,
     }),
     busiestOverMean: new Gauge({
--- a/apps/router/test/entry/load.test.ts
+++ b/apps/router/test/entry/load.test.ts
@@ -277,6 +277,9 @@
   const [node] = await createNodes(t, 1);
   register(node, 'i-1');
   register(node, 'i-2');
+  recordEvenness(node);
+  const [unknown] = (await node.metrics.loadAge.get()).values;
+  t.is(unknown.value, 0);
   applySums(node, {loads: loadOf(1), cutOff: [], ageMs: 500});
   recordEvenness(node);
   const [age] = (await node.metrics.loadAge.get()).values;
@@ -313,3 +316,14 @@
   });
   t.deepEqual(ofGroup, [{scope: 's/m', sent: 300, repeated: 3}]);
 });
+
+test('the metrics listener shows how even the load is', async t => {
+  const site = await startSite(1);
+  t.teardown(() => closeSite(site));
+  configure(site, [route()]);
+  const entry = await startNode(site);
+  const {node} = entry;
+  await until(() => node.upstreams.size === 1);
+  const response = await fetch(`http://${node.settings.metrics}/metrics`);
+  t.regex(await response.text(), /busiest_over_mean\{service="api"\} 1/);
+});
