Give requests that wait their turns in order, and refuse by predicted wait

Cause: a request without an upstream polled every 40 ms and whoever polled first got the place; resumed streams waited for nothing. What could not be served was held for an eighth of its objective although nothing could change within it, and callers were told to come back after 300 ms whatever was known, all at the same time.

Change: all sends take their turns in one line for each service (policy/waiting-line): what can be in time, then priority, shares of customers, time left; every fourth place goes by shares alone. Where all upstreams have more requests than slots, a request that would be late is held back for more urgent ones, and one that could be answered only after its caller left is refused (policy/room). A refusal is immediate where no upstream can become usable within the wait; return times are those at which room is expected, spread over the crowd that is refused (policy/retry-time). findPauseMs is replaced by findRoomMs, with the same cases in its test, 0 where an upstream is usable.

Measured: policy/test/waiting-line and router/test/entry/order pass. Earlier tests of the entry path (one file at a time, load 14 to 21 on 7 cores): upstream-limits, notices, stopping, survival, answers, streams, cut-off pass alone.

--- a/apps/router/src/entry/dispatch.ts
+++ b/apps/router/src/entry/dispatch.ts
@@ -3,20 +3,13 @@
  * request that may not be repeated is sent again only after a "not run" refusal
  * or a failed connection.
  */
-import {failure, type Failure} from '@parsleyarch/errors/failure';
-import {wait} from '@parsleyarch/lifecycle/process';
-import {permitRun} from '@parsleyarch/policy/runs';
+import {failure, Run, type Failure} from '@parsleyarch/errors/failure';
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
 import type {AnswerBody, Outcome} from './attempt.js';
-import {
-  capacityWaitMs,
-  isRepeatable,
-  isStream,
-  RETRY_AFTER_MS,
-  type Exchange,
-} from './exchange.js';
+import {isRepeatable, isStream, type Exchange} from './exchange.js';
 import {chooseLargerModel, recordConfidenceGain} from './models.js';
 import type {EntryNode} from './node.js';
+import {sendInOrder} from './ordered-sends.js';
 import {delegate, selectDelegate} from './delegation.js';
 import {
   mayBeCutOff,
@@ -38,19 +31,13 @@
   mayHaveRun,
   reserveSend,
 } from './retries.js';
-import {findPauseMs, findRetryPauseMs} from './exclusions.js';
-import {selectUpstream, type Selection} from './selection.js';
-import {recordOutcome, awaitOutcome, startSend} from './sending.js';
+import {findRetryAfterMs} from './refusals.js';
+import {recordOutcome, awaitOutcome} from './sending.js';
 import {relayStream} from './streaming.js';
 import {recordCompleteAnswer} from './survival.js';
 import {assignSide, recordSessionEnd} from './versions.js';
 import {recordDroppedStream} from './version-tallies.js';
-
-/**
- * Interval of checks for an upstream while there is no candidate or all are cold
- * and at their limits.
- */
-const CAPACITY_POLL_MS = 40;
+import type {Refusal} from './waiting.js';
 
 /** Result of the sends so far. */
 interface Progress {
@@ -61,29 +48,14 @@
   errorAnswer?: BufferedAnswer;
   /** Why the latest send gave no final answer. */
   reason: string;
+  /** Why the last send did not take place. */
+  refusal?: Refusal;
 }
 
 /** Whether another send follows. */
 const Step = {retry: 'retry', done: 'done', stop: 'stop'} as const;
 type Step = (typeof Step)[keyof typeof Step];
 
-async function waitForUpstream(
-  node: EntryNode,
-  exchange: Exchange,
-  model?: string,
-): Promise<Selection | undefined> {
-  const waitUntil = node.clock() + capacityWaitMs(exchange);
-  for (;;) {
-    const selection = selectUpstream(node, exchange, model);
-    if (selection || exchange.ended || node.clock() >= waitUntil)
-      return selection;
-    const pauseMs = findPauseMs(node, exchange);
-    if (pauseMs !== undefined && node.clock() + pauseMs >= waitUntil)
-      return undefined;
-    await wait(CAPACITY_POLL_MS);
-  }
-}
-
 /**
  * Statuses that tell a caller that its request has not run. They must not be
  * relayed for a request that may have run and may not be repeated.
@@ -231,20 +203,13 @@
   if (exchange.ended) return Step.done;
   const denial = reserveSend(node, exchange);
   if (denial) return stopSending(progress, denial);
-  const selection = await waitForUpstream(node, exchange, progress.model);
-  if (exchange.ended) return Step.done;
-  if (!selection) return stopSending(progress, 'no upstream');
-  if (!hasTimeBeforeStop(node, exchange))
-    return stopSending(progress, 'stopping');
-  const permit = permitRun(exchange.runs);
-  if (permit.isErr()) return stopSending(progress, permit.error);
-  const attempt = startSend(
-    node,
-    exchange,
-    permit.value,
-    selection,
-    progress.model,
-  );
+  const sent = await sendInOrder(node, exchange, {model: progress.model});
+  if (exchange.ended && sent.isErr()) return Step.done;
+  if (sent.isErr()) {
+    progress.refusal = sent.error;
+    return stopSending(progress, sent.error.reason);
+  }
+  const attempt = sent.value;
   const outcome = await awaitOutcome(node, exchange, attempt);
   recordOutcome(node, exchange, attempt, outcome, progress.model);
   if (outcome.kind === 'lost' && outcome.closedByUpstream)
@@ -281,22 +246,21 @@
   exchange: Exchange,
   progress: Progress,
 ): Failure {
-  const {reason} = progress;
-  if (!mayHaveRun(exchange)) {
-    if (!hasTimeBeforeStop(node, exchange)) return createStoppingFailure();
-    const refusalMs = findRefusalMs(node, exchange);
-    if (refusalMs !== undefined)
-      return failure('quarantined', reason, {retryAfterMs: refusalMs});
-    // Before the pause that upstreams asked for ends, a retry would be in vain;
-    // other nodes may have a share of a limit where this one has none.
-    const pauseMs = findRetryPauseMs(node, exchange) ?? 0;
-    const retryAfterMs = Math.max(
-      RETRY_AFTER_MS,
-      Number.isFinite(pauseMs) ? pauseMs : 0,
-    );
-    return failure('no-upstream', reason, {retryAfterMs});
-  }
-  return failure('upstream-lost', reason);
+  const {reason, refusal} = progress;
+  if (mayHaveRun(exchange)) return failure('upstream-lost', reason);
+  if (!hasTimeBeforeStop(node, exchange)) return createStoppingFailure();
+  const refusalMs = findRefusalMs(node, exchange);
+  if (refusalMs !== undefined)
+    return failure('quarantined', reason, {retryAfterMs: refusalMs});
+  const retryAfterMs = findRetryAfterMs(node, exchange, refusal);
+  return failure(refusal?.kind ?? 'no-upstream', reason, {retryAfterMs});
+}
+
+function refuse(node: EntryNode, exchange: Exchange, progress: Progress): void {
+  const problem = createFinalFailure(node, exchange, progress);
+  if (problem.run === Run.notRun)
+    node.metrics.refusals.inc({kind: problem.kind});
+  endWithFailure(node, exchange, problem);
 }
 
 /** Serves a request whose body has been read. */
@@ -321,11 +285,6 @@
     if (step === Step.retry) continue;
     if (progress.errorAnswer)
       endWithAnswer(node, exchange, progress.errorAnswer);
-    else
-      endWithFailure(
-        node,
-        exchange,
-        createFinalFailure(node, exchange, progress),
-      );
+    else refuse(node, exchange, progress);
   }
 }
--- a/apps/router/src/entry/exclusions.ts
+++ b/apps/router/src/entry/exclusions.ts
@@ -6,11 +6,14 @@
 import type {EntryNode, UpstreamState} from './node.js';
 import {isLeaving, pausedUntil} from './notices.js';
 import {timeUntilShare} from './upstream-limits.js';
+import {timeUntilColdRoom} from './upstream-records.js';
 import {allowsVersion} from './versions.js';
 
 const PAUSED = 'paused';
 /** This node may not send now under the limit that the upstream names. */
 const LIMITED = 'limited';
+/** The request belongs to another version of a service in a roll-out. */
+const OTHER_VERSION = 'version';
 /** A brittle upstream would refuse more requests. */
 const FULL = 'full';
 
@@ -26,7 +29,7 @@
   if (pausedUntil(node, registered) > node.clock()) return PAUSED;
   if (node.evacuated.has(registered.failureDomain)) return 'domain out';
   if (exchange.triedUpstreams.has(registered.id)) return 'tried';
-  if (!allowsVersion(node, exchange, registered.version)) return 'version';
+  if (!allowsVersion(node, exchange, registered.version)) return OTHER_VERSION;
   if (timeUntilShare(node, state) > 0) return LIMITED;
   if (timeUntilRoom(node, state) > 0) return FULL;
   return undefined;
@@ -83,42 +86,48 @@
     : Math.min(...usable.map(state => workAt(node, state)));
 }
 
-/**
- * Time until the first exclusion ends; infinite if only other nodes may use the
- * upstreams, `undefined` if no exclusion ends by itself.
- */
-function findEarliestEnd(
+/** Exclusions that may end at any moment, with what other nodes decide. */
+const OPEN_EXCLUSIONS: ReadonlySet<string> = new Set([OTHER_VERSION]);
+
+function timeUntilUsable(
   node: EntryNode,
   exchange: Exchange,
+  state: UpstreamState,
 ): number | undefined {
-  let earliestMs: number | undefined;
-  for (const state of node.upstreams.values()) {
-    const exclusion = findExclusion(node, exchange, state);
-    if (!exclusion || !(exclusion in EXCLUSION_TIMES)) continue;
-    const timeMs = EXCLUSION_TIMES[exclusion](node, state);
-    earliestMs = Math.min(earliestMs ?? Infinity, timeMs);
+  const exclusion = findExclusion(node, exchange, state);
+  if (!exclusion) {
+    const service = node.routes?.table.services.get(exchange.service);
+    return timeUntilColdRoom(node, service, state);
   }
-  return earliestMs;
+  if (OPEN_EXCLUSIONS.has(exclusion)) return 0;
+  return EXCLUSION_TIMES[exclusion]?.(node, state);
 }
 
 /**
- * Time until an upstream may be used again that wants no requests now or has used
- * up its limit, milliseconds; infinite if this node has no share of the limits,
- * `undefined` if there is no such upstream, or if another one is left to which the
- * request was not sent.
+ * Time until an upstream may be able to accept a request, milliseconds: 0 if one may
+ * register at any moment, infinite if only other nodes may use the upstreams,
+ * `undefined` if nothing is known that would make one usable.
  */
-export function findPauseMs(
+export function findRoomMs(
   node: EntryNode,
   exchange: Exchange,
 ): number | undefined {
-  if (hasUntriedUpstream(node, exchange)) return undefined;
-  return findEarliestEnd(node, exchange);
+  let earliestMs: number | undefined;
+  let registered = 0;
+  for (const state of node.upstreams.values()) {
+    if (state.registered.service !== exchange.service) continue;
+    registered += 1;
+    const timeMs = timeUntilUsable(node, exchange, state);
+    if (timeMs === undefined) continue;
+    earliestMs = Math.min(earliestMs ?? Infinity, timeMs);
+  }
+  return registered === 0 ? 0 : earliestMs;
 }
 
 /** The same for a later request of the caller, which may use any upstream. */
-export function findRetryPauseMs(
+export function findRetryRoomMs(
   node: EntryNode,
   exchange: Exchange,
 ): number | undefined {
-  return findPauseMs(node, {...exchange, triedUpstreams: new Set()});
+  return findRoomMs(node, {...exchange, triedUpstreams: new Set()});
 }
--- a/apps/router/src/entry/metrics.ts
+++ b/apps/router/src/entry/metrics.ts
@@ -20,6 +20,9 @@
   readonly pressure: Gauge<'resource'>;
   readonly earlyRefusals: Counter;
   readonly withdrawals: Counter;
+  readonly waiting: Gauge;
+  readonly waitSeconds: Histogram<'route'>;
+  readonly refusals: Counter<'kind'>;
   readonly inFlight: Gauge;
   readonly configuration: Gauge;
   readonly droppedLines: Counter;
@@ -29,6 +32,8 @@
   0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 3, 5, 10,
 ];
 
+const WAIT_BUCKETS_SECONDS = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
+
 /** Creates the metrics of a node in a separate registry. */
 export function createEntryMetrics(): EntryMetrics {
   const registry = new Registry();
@@ -131,6 +136,24 @@
       help: 'Times that the node reported itself not ready under pressure',
       registers,
     }),
+    waiting: new Gauge({
+      name: 'parsleyarch_entry_waiting',
+      help: 'Requests that now wait for an upstream',
+      registers,
+    }),
+    waitSeconds: new Histogram({
+      name: 'parsleyarch_entry_wait_seconds',
+      help: 'Time for which requests waited for an upstream, by route',
+      labelNames: ['route'],
+      buckets: WAIT_BUCKETS_SECONDS,
+      registers,
+    }),
+    refusals: new Counter({
+      name: 'parsleyarch_entry_refusals_total',
+      help: 'Requests refused after their route was found, by kind of failure',
+      labelNames: ['kind'],
+      registers,
+    }),
     inFlight: new Gauge({
       name: 'parsleyarch_entry_in_flight',
       help: 'Requests now being served',
--- a/apps/router/src/entry/node.ts
+++ b/apps/router/src/entry/node.ts
@@ -58,6 +58,7 @@
 import {createStatements, type Statements} from './statements.js';
 import {createTurns, type Turns} from './turns.js';
 import {createVersions, type Versions} from './versions.js';
+import {createWaitingLines, type WaitingLines} from './waiting.js';
 
 /** The node's view of one upstream. */
 export interface UpstreamState {
@@ -149,6 +150,12 @@
   readonly models: ModelStatistics;
   /** Sends of each level of urgency, by service. */
   readonly urgencyLevels: Map<string, LevelRecords>;
+  /** Time that upstreams of plain services take for a request, by service. */
+  readonly serviceMs: Map<string, number>;
+  /** When requests were lately refused, oldest first, by service. */
+  readonly refusedAt: Map<string, number[]>;
+  /** Requests that wait for upstreams. */
+  readonly waiting: WaitingLines;
   readonly load: SharedLoad;
   readonly turns: Turns;
   readonly placing: Placing;
@@ -241,6 +248,9 @@
     versions: createVersions(),
     models: createModelStatistics(),
     urgencyLevels: new Map(),
+    serviceMs: new Map(),
+    refusedAt: new Map(),
+    waiting: createWaitingLines(),
     load: createSharedLoad(),
     turns: createTurns(performance.now()),
     placing: createPlacing(),
--- a/apps/router/src/entry/sending.ts
+++ b/apps/router/src/entry/sending.ts
@@ -15,6 +15,7 @@
 import {recordNotice} from './notices.js';
 import {recordFailedConnection} from './reachability.js';
 import {recordArrival} from './retries.js';
+import {recordServiceTime} from './room.js';
 import type {Selection} from './selection.js';
 import {recordStatements} from './statements.js';
 import {assignUrgency, recordSendBegin, recordSendEnd} from './urgency.js';
@@ -24,6 +25,7 @@
   recordSend,
 } from './upstream-records.js';
 import {recordVersionOutcome} from './version-tallies.js';
+import {serveLine} from './waiting.js';
 
 /**
  * Multiple of the latency objective after which a send is cancelled if its
@@ -120,6 +122,8 @@
     if (outcome.kind === 'answer' && model)
       recordModelTime(node, exchange, model, attempt.upstreamWork, tookMs);
     recordReportedLoad(node, upstream, outcome.answer);
+    if (outcome.kind === 'answer' && !model)
+      recordServiceTime(node, exchange.service, outcome.answer, tookMs);
   }
   const failed =
     outcome.kind !== 'answer' || (outcome.answer?.status ?? 0) >= 500;
@@ -148,4 +152,5 @@
     load: 'answer' in outcome ? outcome.answer.load : undefined,
     promptTokens: exchange.caller.promptTokens,
   });
+  serveLine(node, exchange.service);
 }
--- a/apps/router/src/entry/streaming.ts
+++ b/apps/router/src/entry/streaming.ts
@@ -1,6 +1,5 @@
 /** Relays event streams and resumes them at another upstream if they break. */
 import type {UpstreamAnswer} from '@parsleyarch/platform/headers';
-import {permitRun} from '@parsleyarch/policy/runs';
 import {isStalled, moveGapMs} from '@parsleyarch/policy/stream-gaps';
 import {
   createStreamWriter,
@@ -15,12 +14,12 @@
 } from './crashes.js';
 import {isRepeatable, type Exchange} from './exchange.js';
 import type {EntryNode} from './node.js';
+import {sendInOrder} from './ordered-sends.js';
 import {createEventSplitter, writeHead, type EventSplitter} from './relay.js';
 import {recordAnswer} from './reply.js';
 import {mayRetry, reserveSend} from './retries.js';
 import {hasUntriedUpstream} from './exclusions.js';
-import {selectUpstream} from './selection.js';
-import {recordOutcome, awaitOutcome, startSend} from './sending.js';
+import {recordOutcome, awaitOutcome} from './sending.js';
 import {watchPace} from './stream-pace.js';
 import {recordCompleteAnswer, watchSurvival} from './survival.js';
 
@@ -129,18 +128,9 @@
   while (!exchange.ended && isRepeatable(exchange)) {
     const denial = reserveSend(node, exchange);
     if (denial) return undefined;
-    const selection = selectUpstream(node, exchange, model);
-    if (!selection) return undefined;
-    const permit = permitRun(exchange.runs);
-    if (permit.isErr()) return undefined;
-    const attempt = startSend(
-      node,
-      exchange,
-      permit.value,
-      selection,
-      model,
-      lastEventId,
-    );
+    const sent = await sendInOrder(node, exchange, {model, lastEventId});
+    if (sent.isErr()) return undefined;
+    const attempt = sent.value;
     const outcome = await awaitOutcome(node, exchange, attempt);
     recordOutcome(node, exchange, attempt, outcome, model);
     if (outcome.kind === 'lost' && outcome.closedByUpstream)
--- a/apps/router/src/entry/upstream-records.ts
+++ b/apps/router/src/entry/upstream-records.ts
@@ -26,24 +26,36 @@
   while (times.length > 0 && times[0] < oldest) times.shift();
 }
 
-export function isColdLimitReached(
+/**
+ * Time until a send to an upstream keeps to its cold limit, milliseconds: 0 if it does
+ * now, infinite if only other nodes may send to it while it is cold.
+ */
+export function timeUntilColdRoom(
   node: EntryNode,
   service: PooledService | undefined,
   state: UpstreamState,
-): boolean {
+): number {
   const now = node.clock();
   if (!service || service.coldPerSecond === 0 || now >= state.coldUntil)
-    return false;
+    return 0;
   const {over, slack} = node.settings.cold;
   const limitPerSecond =
     (service.coldPerSecond * over + slack) * COLD_LIMIT_RATIO;
   const rank = rankMember(state.digest, node, node.members.values());
   const sendLimit = limitColdSends(limitPerSecond, node.peakMemberCount, rank);
-  let recent = 0;
-  for (const at of state.sends) {
-    if (at > now - COLD_WINDOW_MS) recent += 1;
-  }
-  return recent >= sendLimit;
+  const recent = state.sends.filter(at => at > now - COLD_WINDOW_MS);
+  if (recent.length < sendLimit) return 0;
+  if (sendLimit === 0) return Infinity;
+  const freeAt = recent[recent.length - sendLimit] + COLD_WINDOW_MS;
+  return Math.min(freeAt, state.coldUntil) - now;
+}
+
+export function isColdLimitReached(
+  node: EntryNode,
+  service: PooledService | undefined,
+  state: UpstreamState,
+): boolean {
+  return timeUntilColdRoom(node, service, state) > 0;
 }
 
 /** Time for which sends are remembered for the cold limit. */
--- a/apps/router/test/entry/selection.test.ts
+++ b/apps/router/test/entry/selection.test.ts
@@ -1,7 +1,7 @@
 /** Tests of the choice of an upstream in a large deployment, without a network. */
 import {
-  findPauseMs,
-  findRetryPauseMs,
+  findRetryRoomMs,
+  findRoomMs,
   findWorkAhead,
 } from '@parsleyarch/router/entry/exclusions';
 import type {Exchange} from '@parsleyarch/router/entry/exchange';
@@ -118,18 +118,18 @@
 test('a pause counts only if no other upstream is left for the request', async t => {
   const {node} = await createNode(t, 2);
   pause(node, 'i-0', 5_000);
-  t.is(findPauseMs(node, createExchange()), undefined);
-  t.is(findPauseMs(node, createExchange(['i-1'])), 5_000);
+  t.is(findRoomMs(node, createExchange()), 0);
+  t.is(findRoomMs(node, createExchange(['i-1'])), 5_000);
   pause(node, 'i-1', 3_000);
-  t.is(findPauseMs(node, createExchange()), 3_000);
+  t.is(findRoomMs(node, createExchange()), 3_000);
 });
 
 test('a caller is told to come back sooner if its retry could use an upstream that was tried', async t => {
   const {node} = await createNode(t, 2);
   pause(node, 'i-0', 5_000);
-  t.is(findRetryPauseMs(node, createExchange(['i-1'])), undefined);
+  t.is(findRetryRoomMs(node, createExchange(['i-1'])), 0);
   pause(node, 'i-1', 3_000);
-  t.is(findRetryPauseMs(node, createExchange(['i-1'])), 3_000);
+  t.is(findRetryRoomMs(node, createExchange(['i-1'])), 3_000);
 });
 
 /** Load of the other nodes at an upstream, as sums that have just arrived. */
