Expect the time of larger models by a fixed part beside the known work

Cause: the time to an answer's header was taken to be in proportion to the work known at the engine, with a narrow spread. Behind little work it was expected far too short, behind much far too long, so that larger models were asked that could not be in time.

Change: policy/header-time counts a fixed work of ten units beside the known one; the chance to be in time falls off over three quarters of the expected time instead of half. A send counts as unable to be in time below a quarter of the expected time without a queue instead of half, as that time is longer now.

--- a/apps/router/src/entry/models.ts
+++ b/apps/router/src/entry/models.ts
@@ -1,4 +1,8 @@
 /** Model statistics of the node, and the choice of a larger model. */
+import {
+  expectHeaderTime,
+  recordHeaderTime,
+} from '@parsleyarch/policy/header-time';
 import {
   escalate,
   type ScoredAnswer,
@@ -12,18 +16,13 @@
 
 /** Cost of the largest model, relative to the value of a good answer. */
 const LARGEST_MODEL_COST_RATIO = 0.16;
-/** Part of the time to the response header that does not depend on work. */
-const BASE_HEADER_MS = 80;
-/** Expected time per unit of work before the first observation. */
-const INITIAL_MS_PER_WORK_UNIT = 50;
 /**
  * Expected confidence gain over the model asked before, until the first
  * observation: for the models between, and for the largest model.
  */
 const INITIAL_GAIN_PERCENT = 15;
 const INITIAL_GAIN_LARGEST_PERCENT = 72;
-/** Weight of the newest observation in a moving average. */
-const TIME_SMOOTHING_RATIO = 0.15;
+/** Weight of the newest observation in the moving average of gains. */
 const GAIN_SMOOTHING_RATIO = 0.05;
 /** Confidences outside this range are saturated, so their difference is unknown. */
 const MIN_CONFIDENCE_PERCENT = 3;
@@ -31,10 +30,7 @@
 
 /** Estimates that the choice of a model relies on. */
 export interface ModelStatistics {
-  /**
-   * Time to the response header per unit of work, by service and model; a moving
-   * average.
-   */
+  /** Time to the response header per unit of work, by service and model. */
   readonly msPerWorkUnit: Map<string, number>;
   /**
    * Confidence gain of the second model over the first, by pair of models; an
@@ -64,11 +60,8 @@
 ): void {
   const {msPerWorkUnit} = node.models;
   const key = `${service}/${model}`;
-  const msPerUnit = Math.max(0, tookMs - BASE_HEADER_MS) / Math.max(1, work);
-  msPerWorkUnit.set(
-    key,
-    smooth(msPerWorkUnit.get(key), msPerUnit, TIME_SMOOTHING_RATIO),
-  );
+  const known = msPerWorkUnit.get(key);
+  msPerWorkUnit.set(key, recordHeaderTime(known, work, tookMs));
 }
 
 /** Expected time from a send to the response header, behind this work and with it. */
@@ -78,9 +71,7 @@
   model: string,
   work: number,
 ): number {
-  const msPerUnit =
-    msPerWorkUnit.get(`${service}/${model}`) ?? INITIAL_MS_PER_WORK_UNIT;
-  return BASE_HEADER_MS + msPerUnit * work;
+  return expectHeaderTime(msPerWorkUnit.get(`${service}/${model}`), work);
 }
 
 /** Records the confidences of two models for the same request. */
--- a/packages/policy/src/model-choice.ts
+++ b/packages/policy/src/model-choice.ts
@@ -40,7 +40,7 @@
  * Spread of the time to the response header, relative to the expected time; the
  * spread is 50 ms at least.
  */
-const TIME_SPREAD_RATIO = 0.5;
+const TIME_SPREAD_RATIO = 0.75;
 /** Work at an upstream up to which more work barely delays other requests. */
 const UNCROWDED_WORK_UNITS = 3;
 /** Value that other requests lose per work unit above that. */
--- a/packages/policy/src/urgency.ts
+++ b/packages/policy/src/urgency.ts
@@ -20,7 +20,7 @@
 /** Multiple of the expected time below which the time left is short. */
 const SHORT_TIME_RATIO = 2;
 /** Fraction of the time without a queue below which a send cannot be in time. */
-const HOPELESS_TIME_RATIO = 0.5;
+const HOPELESS_TIME_RATIO = 0.25;
 /** Part of the time to the deadline that sends of a level may take at most. */
 const MAX_DEADLINE_RATIO = 0.5;
 /** Share of the sends of a level that go first while the level takes too long. */
