Tell kinds of request apart where customers have priorities

Change: the levels in time are divided between the classes that requests can have, and within a class sends go by the rank of the route's priority, the time left in halvings of the longest objective, and the smallest model; answers that have begun come first.

--- a/apps/router/src/entry/urgency.ts
+++ b/apps/router/src/entry/urgency.ts
@@ -1,11 +1,16 @@
 /** Urgency of the sends of a node. */
-import {classOfPriority} from '@parsleyarch/policy/priorities';
+import {
+  classOfPriority,
+  countClasses,
+  type Competition,
+} from '@parsleyarch/policy/priorities';
 import {callerGapMs} from '@parsleyarch/policy/stream-gaps';
 import {
   beginSend,
   chooseUrgency,
   endSend,
   type LevelRecords,
+  type Rank,
 } from '@parsleyarch/policy/urgency';
 import type {Attempt} from './attempt.js';
 import {isStream, priorityOf, type Exchange} from './exchange.js';
@@ -13,6 +18,8 @@
 import type {EntryNode} from './node.js';
 import type {Selection} from './selection.js';
 
+const SINGLE_RANK: Rank = {rank: 0, count: 1};
+
 function getRecords(node: EntryNode, service: string): LevelRecords {
   const known = node.urgencyLevels.get(service);
   if (known) return known;
@@ -21,9 +28,23 @@
   return records;
 }
 
+function rankOf(priority: number, declared: readonly number[]): Rank {
+  return {
+    rank: classOfPriority(priority, declared),
+    count: countClasses(declared),
+  };
+}
+
+function competitionOf(
+  {routes}: EntryNode,
+  {service}: Exchange,
+): Competition | undefined {
+  return routes?.competitions.get(service);
+}
+
 /** Class of the priority of a request among those that use its service. */
 export function priorityClassOf(node: EntryNode, exchange: Exchange): number {
-  const declared = node.routes?.priorities.get(exchange.service);
+  const declared = competitionOf(node, exchange)?.priorities;
   return classOfPriority(priorityOf(exchange), declared);
 }
 
@@ -47,20 +68,24 @@
 export function assignUrgency(
   node: EntryNode,
   exchange: Exchange,
-  {addedWork, presentWork}: Selection,
+  {addedWork}: Selection,
   model?: string,
 ): number {
-  const {route, service} = exchange;
+  const {route, service, customer} = exchange;
   const now = node.clock();
-  const expectMs = (work: number) =>
-    expectHeaderMs(node.models, service, model ?? '', work);
+  const competition = competitionOf(node, exchange);
+  const isOverridden = customer?.priority !== undefined;
   const request = {
-    priorityClass: priorityClassOf(node, exchange),
+    priorityClass: rankOf(priorityOf(exchange), competition?.priorities ?? []),
+    routeClass: isOverridden
+      ? rankOf(route.priority, competition?.routePriorities ?? [])
+      : SINGLE_RANK,
+    hasBegun: exchange.response.headersSent,
     isSmallest: model === undefined || model === route.models[0],
     untilObjectiveMs: objectiveEndsAt(exchange, now) - now,
+    longestObjectiveMs: competition?.longestObjectiveMs || route.objectiveMs,
     untilDeadlineMs: patienceEndsAt(exchange, now) - now,
-    aloneMs: expectMs(addedWork),
-    expectedMs: expectMs(presentWork + addedWork),
+    aloneMs: expectHeaderMs(node.models, service, model ?? '', addedWork),
   };
   const records = getRecords(node, service);
   return chooseUrgency(request, records, now, node.random());
--- a/packages/policy/src/routes.ts
+++ b/packages/policy/src/routes.ts
@@ -4,14 +4,15 @@
   Route,
   RoutingTable,
 } from '@parsleyarch/resource/routing';
-import {listPriorities, type DeclaredPriorities} from './priorities.js';
+import {listCompetitions, type Competitions} from './priorities.js';
 
 /** A routing table indexed by host. */
 export interface RouteIndex {
   readonly table: RoutingTable;
   /** Routes of each host, longest path prefix first. */
   readonly hosts: ReadonlyMap<string, readonly Route[]>;
-  readonly priorities: DeclaredPriorities;
+  /** What competes for each service. */
+  readonly competitions: Competitions;
 }
 
 export function indexRoutes(table: RoutingTable): RouteIndex {
@@ -23,7 +24,7 @@
   }
   for (const routes of hosts.values())
     routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-  return {table, hosts, priorities: listPriorities(table)};
+  return {table, hosts, competitions: listCompetitions(table)};
 }
 
 function normalizeHost(authority: string): string {
--- a/packages/policy/src/urgency.ts
+++ b/packages/policy/src/urgency.ts
@@ -3,22 +3,23 @@
  * engines have more to read than they can in time: a burst of one kind of request,
  * or less capacity than usual.
  *
- * Sends that can be in time go first, by class of priority; within a class, those for
- * the smallest model and those with little time left go first. Sends that can no
- * longer be in time follow. An engine keeps the urgency of a send while it waits, so
- * ageing takes place before the send: of a level at which sends have lately taken too
- * long for the time that is left to the deadline, a part is sent as the most urgent.
+ * Sends that can be in time go first, by class of priority. Within a class they go by the
+ * priority of the route, where those of customers come before it, and by the time left;
+ * answers that have begun precede all, and sends for the smallest model others like them.
+ * Sends that can no longer be in
+ * time follow. An engine keeps the urgency of a send while it waits, so ageing takes place
+ * before the send: of a level at which sends have lately taken too long for the time that
+ * is left to the deadline, a part is sent as the most urgent.
  */
-import {PRIORITY_CLASS_COUNT} from './priorities.js';
 
 /** Levels of urgency; 0 is the most urgent. */
 export const URGENCY_LEVEL_COUNT = 10;
-/** Levels of each class of priority for sends that can be in time. */
-const LEVELS_PER_CLASS = 2;
 /** First of the levels for sends that can no longer be in time. */
-const FIRST_LATE_LEVEL = PRIORITY_CLASS_COUNT * LEVELS_PER_CLASS;
-/** Multiple of the expected time below which the time left is short. */
-const SHORT_TIME_RATIO = 2;
+const FIRST_LATE_LEVEL = 8;
+/** Times by which the time left may be halved, from the longest objective, to count. */
+const MAX_HALVING_COUNT = 2;
+/** Halvings that count for the smallest model, whose sends take little time. */
+const SMALLEST_MODEL_HALVINGS = 0.5;
 /** Fraction of the time without a queue below which a send cannot be in time. */
 const HOPELESS_TIME_RATIO = 0.25;
 /** Part of the time to the deadline that sends of a level may take at most. */
@@ -30,19 +31,29 @@
 /** Weight of the newest send in the time that sends of a level take. */
 const SMOOTHING_RATIO = 0.3;
 
+/** A rank among some; 0 is the most urgent. */
+export interface Rank {
+  readonly rank: number;
+  readonly count: number;
+}
+
 /** A send whose urgency is to be chosen; times in milliseconds. */
 export interface UrgencyRequest {
-  /** Class of priority; 0 is the most urgent. */
-  readonly priorityClass: number;
+  /** Class of priority, among those of the requests for the same service. */
+  readonly priorityClass: Rank;
+  /** Class of the route's priority, where the customer's priority overrides it. */
+  readonly routeClass: Rank;
+  /** Whether it continues an answer whose first events the caller has. */
+  readonly hasBegun: boolean;
   /** Whether it is for the smallest of the models that the router may choose. */
   readonly isSmallest: boolean;
   /** Time left to the latency objective; negative once it has passed. */
   readonly untilObjectiveMs: number;
+  /** Longest objective of the requests for the same service. */
+  readonly longestObjectiveMs: number;
   readonly untilDeadlineMs: number;
   /** Expected time to the answer if nothing else waited at the engine. */
   readonly aloneMs: number;
-  /** Expected time to the answer behind the work that is present. */
-  readonly expectedMs: number;
 }
 
 /** Sends of one level. */
@@ -100,18 +111,28 @@
   return Math.max(fadedTime(record, now), now - secondOldest);
 }
 
+/** Position among the sends of a class of priority, from 0 up to 1 exclusive. */
+function positionInClass(request: UrgencyRequest): number {
+  if (request.hasBegun) return 0;
+  const {untilObjectiveMs, longestObjectiveMs, routeClass} = request;
+  const leftRatio = untilObjectiveMs / Math.max(1, longestObjectiveMs);
+  const halvings = Math.floor(
+    -Math.log2(Math.max(Number.MIN_VALUE, leftRatio)),
+  );
+  const counted = Math.min(MAX_HALVING_COUNT, Math.max(0, halvings));
+  const ahead = counted + (request.isSmallest ? SMALLEST_MODEL_HALVINGS : 0);
+  const score = Math.max(0, routeClass.rank + MAX_HALVING_COUNT - ahead);
+  return score / (routeClass.count + MAX_HALVING_COUNT);
+}
+
 /** Level of a send by its priority and its objective alone. */
 function levelOf(request: UrgencyRequest): number {
-  const {untilObjectiveMs, aloneMs, expectedMs, isSmallest} = request;
-  const priorityClass = Math.min(
-    PRIORITY_CLASS_COUNT - 1,
-    Math.max(0, Math.floor(request.priorityClass)),
-  );
+  const {untilObjectiveMs, aloneMs, priorityClass} = request;
+  const {rank, count} = priorityClass;
   if (untilObjectiveMs < aloneMs * HOPELESS_TIME_RATIO)
-    return FIRST_LATE_LEVEL + Math.floor(priorityClass / 2);
-  const goesFirst =
-    isSmallest || untilObjectiveMs < expectedMs * SHORT_TIME_RATIO;
-  return priorityClass * LEVELS_PER_CLASS + (goesFirst ? 0 : 1);
+    return FIRST_LATE_LEVEL + (rank * 2 < count ? 0 : 1);
+  const levelsPerClass = Math.floor(FIRST_LATE_LEVEL / count);
+  return Math.floor((rank + positionInClass(request)) * levelsPerClass);
 }
 
 /**
