Let changes of a series share a call to the store

Cause: each watcher called the store again 50 ms after a watch that a change had ended, so that a series of changes, such as upstreams that start together, cost up to 18 calls a second from each of four watchers. Change: the pause after such a watch is a sixteenth of the time to apply a change.

--- a/apps/router/src/entry/follow.ts
+++ b/apps/router/src/entry/follow.ts
@@ -5,13 +5,14 @@
  */
 import {registerResource} from '@parsleyarch/lifecycle/manager';
 import {repeat, wait} from '@parsleyarch/lifecycle/process';
+import {watchPauseMs} from '@parsleyarch/policy/following';
 import {isConfirmationStale, isWatcher} from './following.js';
 import type {EntryNode} from './node.js';
 import {askSources, canFollow, findSource, pollSource} from './sources.js';
 import {isStoreDue, pollStore} from './store-calls.js';
 
-/** Pause between calls, so that successive changes share one call. */
-const BATCH_PAUSE_MS = 50;
+/** Pause between calls to a source. */
+const SOURCE_PAUSE_MS = 50;
 /** Pause while there is nothing to call. */
 const POLL_MS = 100;
 
@@ -41,6 +42,10 @@
   await pollSource(node, source);
 }
 
+function callPauseMs({following, settings}: EntryNode): number {
+  return watchPauseMs(settings.configuration.applyMs, following.hadChanges);
+}
+
 /** Follows the store until the node stops; resolves after the first full read. */
 export function followStore(node: EntryNode): Promise<void> {
   return new Promise(resolve => {
@@ -54,8 +59,8 @@
       if (node.feed.revision !== undefined) resolve();
     };
     const tasks = [
-      repeat(BATCH_PAUSE_MS, fromStore, onError),
-      repeat(BATCH_PAUSE_MS, () => followSourceOnce(node), onError),
+      repeat(() => callPauseMs(node), fromStore, onError),
+      repeat(SOURCE_PAUSE_MS, () => followSourceOnce(node), onError),
     ];
     // A pending watch ends when the client's connections are closed.
     registerResource(node.manager, 'follow', () => {
--- a/apps/router/src/entry/following.ts
+++ b/apps/router/src/entry/following.ts
@@ -28,6 +28,8 @@
   /** When it failed, and the pause before the next one, milliseconds. */
   storeFailedAt: number;
   storePauseMs: number;
+  /** Whether the last watch of the store was ended by changes. */
+  hadChanges: boolean;
   /** When another node last answered this one, monotonic milliseconds. */
   peerAnsweredAt: number;
   /** Rounds of questions to other nodes so far, and when the next one is due. */
@@ -45,6 +47,7 @@
     storeFailing: false,
     storeFailedAt: -Infinity,
     storePauseMs: 0,
+    hadChanges: false,
     peerAnsweredAt: -Infinity,
     roundCount: 0,
     nextRoundAt: 0,
--- a/apps/router/src/entry/store-calls.ts
+++ b/apps/router/src/entry/store-calls.ts
@@ -95,6 +95,7 @@
     revision,
     waitMs,
   );
+  node.following.hadChanges = false;
   if (changes.isErr()) return recordFailedCall(node, changes.error.message);
   recordSuccessfulCall(node);
   if (!changes.value || changes.value.era !== node.feed.era) {
@@ -102,6 +103,7 @@
     node.following.mustReadAll = true;
     return;
   }
+  node.following.hadChanges = changes.value.items.length > 0;
   applyChanges(node.feed, changes.value);
   recordConfirmation(node, sentAt);
 }
--- a/packages/policy/src/following.ts
+++ b/packages/policy/src/following.ts
@@ -47,6 +47,20 @@
   );
 }
 
+/** Pause after a watch that no change has ended, milliseconds. */
+const QUIET_PAUSE_MS = 50;
+/** Pause after one that changes have ended, relative to the time to apply a change. */
+const SERIES_PAUSE_RATIO = 1 / 16;
+
+/**
+ * Pause before the next watch. Changes often come in series, such as the upstreams of a
+ * service that start together; those that follow the first one share a call.
+ */
+export function watchPauseMs(applyMs: number, hadChanges: boolean): number {
+  if (!hadChanges) return QUIET_PAUSE_MS;
+  return Math.max(QUIET_PAUSE_MS, applyMs * SERIES_PAUSE_RATIO);
+}
+
 /** Shortest and longest time between two rounds of questions to other nodes. */
 const MIN_ROUND_MS = 250;
 const MAX_ROUND_MS = 1_000;
--- a/packages/policy/test/following.test.ts
+++ b/packages/policy/test/following.test.ts
@@ -2,6 +2,7 @@
   chooseRoundSources,
   maxStorePauseMs,
   roundIntervalMs,
+  watchPauseMs,
 } from '@parsleyarch/policy/following';
 import test from 'ava';
 import fc from 'fast-check';
@@ -38,6 +39,13 @@
   }
 });
 
+test('changes that follow others share calls, well within the time to apply them', t => {
+  for (const {applyMs} of BOUNDS) {
+    t.true(watchPauseMs(applyMs, true) > watchPauseMs(applyMs, false));
+    t.true(watchPauseMs(applyMs, true) <= applyMs / 10);
+  }
+});
+
 test('a round asks the preferred source, each other source by turns and any other node', t => {
   const sources = ['a', 'b', 'c'];
   const others = ['a', 'b', 'c', 'd', 'e'];
