--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -227,7 +227,8 @@
   });
 }
 
-function isReady(node) {
+/** Whether the readiness probe of a node is answered with 200 in time. */
+export function isReady(node) {
   return new Promise(resolve => {
     const [host, port] = node.fields.listen.ready.split(':');
     const probe = http.get(
